--- /dev/null
+++ b/src/base/enum_names.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace jaymast {
+
+/// Table of the names of an enum, in declaration order. Specialised next to each enum with a member kNames.
+template <typename E>
+struct EnumNames;
+
+/// Name of an enumerator as it appears in messages and files.
+template <typename E>
+constexpr std::string_view ToString(E value) {
+  return EnumNames<E>::kNames.at(static_cast<std::size_t>(value));
+}
+
+/// Enumerator with the given name, or nothing when the name is unknown.
+template <typename E>
+constexpr std::optional<E> FromString(std::string_view name) {
+  const auto& names = EnumNames<E>::kNames;
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    if (names[i] == name) return static_cast<E>(i);
+  }
+  return std::nullopt;
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/base/id.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace jaymast {
+
+/// A name that cannot be mixed up with a name of another kind.
+template <typename Tag>
+class Id {
+ public:
+  Id() = default;
+  explicit Id(std::string value) : m_value(std::move(value)) {}
+  explicit Id(std::string_view value) : m_value(value) {}
+  explicit Id(const char* value) : m_value(value) {}
+
+  const std::string& value() const { return m_value; }
+  bool empty() const { return m_value.empty(); }
+
+  friend bool operator==(const Id& a, const Id& b) { return a.m_value == b.m_value; }
+  friend auto operator<=>(const Id& a, const Id& b) { return a.m_value <=> b.m_value; }
+  friend std::ostream& operator<<(std::ostream& out, const Id& id) { return out << id.m_value; }
+
+ private:
+  std::string m_value;
+};
+
+/// One incarnation of an entry process: the name from its settings and a random suffix for each start.
+using EntryId = Id<struct EntryTag>;
+using UpstreamId = Id<struct UpstreamTag>;
+using DomainId = Id<struct DomainTag>;
+using TeamId = Id<struct TeamTag>;
+using TaskId = Id<struct TaskTag>;
+using GangId = Id<struct GangTag>;
+using KeyId = Id<struct KeyTag>;
+using PlanId = Id<struct PlanTag>;
+using TransactionId = Id<struct TransactionTag>;
+
+}  // namespace jaymast
+
+template <typename Tag>
+struct std::hash<jaymast::Id<Tag>> {
+  std::size_t operator()(const jaymast::Id<Tag>& id) const noexcept { return std::hash<std::string>()(id.value()); }
+};
--- /dev/null
+++ b/src/base/json.cc
@@ -0,0 +1,2 @@
+// The single translation unit that compiles Boost.JSON.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/core/entry_settings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "model/cluster_config.h"
+
+namespace jaymast {
+
+/// Settings of the decision core of one entry. The defaults fit the sizes of today.
+struct EntrySettings {
+  std::string name;          ///< name of the instance; the entry id adds a random suffix for each start
+  DomainId domain;           ///< failure domain of the instance
+  std::string peer_address;  ///< IP number and port where other entries connect
+  ClusterConfig initial_config;  ///< written when the table holds no configuration yet
+
+  Duration renew_interval = std::chrono::seconds(1);
+  Duration lease_duration = std::chrono::seconds(3);
+  Duration drift_bound = std::chrono::milliseconds(500);
+  Duration summary_interval = std::chrono::seconds(1);
+  Duration peer_silence = std::chrono::seconds(3);  ///< a silent peer gets no requests
+  Duration journal_interval = std::chrono::milliseconds(20);
+  Duration hold_duration = std::chrono::seconds(2);
+  Duration task_lease = std::chrono::seconds(5);
+  Duration upstream_call_timeout = std::chrono::seconds(2);
+  Duration upstream_renew_interval = std::chrono::seconds(1);
+  Duration handover_interval = std::chrono::seconds(1);
+  Duration domain_return_ramp = std::chrono::seconds(30);  ///< starts are rate limited after a domain comes back
+
+  std::int64_t table_writes_per_second = 40;  ///< this entry's part of the write budget of the table service
+  std::int64_t max_queued_tasks = 20'000;
+  std::int64_t max_open_requests = 10'000;
+  std::int64_t max_retained_outcomes = 10'000;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/core/timers.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "base/time.h"
+
+namespace jaymast {
+
+/// Callbacks ordered by deadline, then by the order in which they were added.
+class Timers {
+ public:
+  using Callback = std::function<void()>;
+
+  void At(Time deadline, Callback callback) { m_callbacks.emplace(deadline, std::move(callback)); }
+
+  /// Runs all callbacks whose deadline has passed. Callbacks added meanwhile run too if they are due.
+  void Run(Time now) {
+    while (!m_callbacks.empty() && m_callbacks.begin()->first <= now) {
+      const Callback callback = std::move(m_callbacks.begin()->second);
+      m_callbacks.erase(m_callbacks.begin());
+      callback();
+    }
+  }
+
+  std::optional<Time> NextDeadline() const {
+    if (m_callbacks.empty()) return std::nullopt;
+    return m_callbacks.begin()->first;
+  }
+
+ private:
+  std::multimap<Time, Callback> m_callbacks;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/model/plan.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/resources.h"
+#include "model/cluster_config.h"
+#include "model/intent.h"
+
+namespace jaymast {
+
+/// The answer to an intent: what a confirmation would change. Nothing changes until it is confirmed.
+struct Plan {
+  PlanId id;
+  std::int64_t base_version = 0;  ///< configuration version the plan was made from
+  std::vector<Intent> intents;
+  ClusterConfig target;                     ///< configuration after the confirmation
+  std::vector<std::string> starts;          ///< tasks that will start
+  std::vector<std::string> moves;           ///< tasks that will be checkpointed and moved
+  std::vector<std::string> stops;           ///< tasks that will be stopped
+  std::vector<std::string> refusals;        ///< intents or tasks that will be refused, with the reason
+  std::map<DomainId, Resources> capacity;   ///< usable capacity per failure domain afterwards
+  std::map<TeamId, std::int64_t> headroom;  ///< limit less running tasks per team afterwards
+};
+
+}  // namespace jaymast
