--- a/src/base/id.h
+++ b/src/base/id.h
@@ -29,7 +29,8 @@
   std::string m_value;
 };
 
-/// One incarnation of an entry process: the name from its settings and a random suffix for each start.
+/// One incarnation of an entry process: failure domain, name from its settings, and a random suffix for each start,
+/// joined by dots.
 using EntryId = Id<struct EntryTag>;
 using UpstreamId = Id<struct UpstreamTag>;
 using DomainId = Id<struct DomainTag>;
@@ -40,6 +41,9 @@
 using PlanId = Id<struct PlanTag>;
 using TransactionId = Id<struct TransactionTag>;
 
+/// Failure domain of an entry, which is the part of its id before the first dot.
+inline DomainId DomainOf(const EntryId& entry) { return DomainId(entry.value().substr(0, entry.value().find('.'))); }
+
 }  // namespace jaymast
 
 template <typename Tag>
--- /dev/null
+++ b/src/configuration/operations.cc
@@ -0,0 +1,310 @@
+#include "configuration/operations.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <chrono>
+#include <utility>
+
+#include "membership/entry_record.h"
+#include "membership/membership.h"
+#include "model/codec.h"
+#include "ownership/owner_record.h"
+#include "tasks/task_manager.h"
+
+namespace jaymast {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusUnavailable = 503;
+
+/// A change is to be in force everywhere within this time; a confirmation that is not answers with who is missing.
+constexpr Duration kInForceTarget = std::chrono::seconds(3);
+constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+
+std::string PlanKey(const PlanId& id) { return "plan/" + id.value(); }
+std::string ConfirmedKey(const PlanId& id) { return std::string(kConfirmedPrefix) + id.value(); }
+
+json::object EncodeIntents(std::int64_t base_version, const std::vector<Intent>& intents) {
+  json::array array;
+  for (const Intent& intent : intents) array.emplace_back(ToJson(intent));
+  return {{"base_version", base_version}, {"intents", std::move(array)}};
+}
+
+struct StoredPlan {
+  std::int64_t base_version = 0;
+  std::vector<Intent> intents;
+};
+
+Result<StoredPlan> DecodeIntents(const std::string& text) {
+  const Result<json::object> object = ParseObject(text, "plan");
+  if (!object) return object.error();
+  StoredPlan plan;
+  const json::value* version = object->if_contains("base_version");
+  const json::value* intents = object->if_contains("intents");
+  if (version == nullptr || !version->is_int64() || intents == nullptr || !intents->is_array()) {
+    return Error{ErrorId::kInputField, "plan", "incomplete"};
+  }
+  plan.base_version = version->get_int64();
+  for (const json::value& value : intents->get_array()) {
+    if (!value.is_object()) return Error{ErrorId::kInputField, "plan/intents", "expected objects"};
+    Result<Intent> intent = IntentFromJson(value.get_object(), "plan/intents");
+    if (!intent) return intent.error();
+    plan.intents.push_back(std::move(*intent));
+  }
+  return plan;
+}
+
+bool HasRuns(const std::vector<Intent>& intents) {
+  return std::any_of(intents.begin(), intents.end(),
+                     [](const Intent& intent) { return std::holds_alternative<RunIntent>(intent); });
+}
+
+}  // namespace
+
+Operations::Operations(Context& context, TableClient& table, ConfigStore& config, const Membership& membership,
+                       TaskManager& tasks, Hooks hooks)
+    : m_context(context),
+      m_table(table),
+      m_config(config),
+      m_membership(membership),
+      m_tasks(tasks),
+      m_hooks(std::move(hooks)) {}
+
+void Operations::Fail(RequestId request, int status, Error error, Verdict verdict) {
+  Response response;
+  response.status = status;
+  response.verdict = verdict;
+  response.error = std::move(error);
+  m_context.effects.Reply(request, response);
+}
+
+void Operations::Plan(RequestId request, const std::vector<Intent>& intents) {
+  const Result<jaymast::Plan> plan = MakePlan(m_config.config(), intents, m_hooks.facts());
+  if (!plan) return Fail(request, kStatusBadRequest, plan.error(), Verdict::kNotRun);
+  StorePlan(request, *plan, kStatusOk, "");
+}
+
+void Operations::StorePlan(RequestId request, const jaymast::Plan& plan, int status, const std::string& note) {
+  jaymast::Plan stored = plan;
+  stored.id = PlanId(fmt::format("{}-p{}", m_context.self.value(), m_next_plan++));
+  const std::string text = json::serialize(EncodeIntents(stored.base_version, stored.intents));
+  ++m_open_plans;
+  m_table.Commit({{PlanKey(stored.id), 0}}, {{PlanKey(stored.id), text}},
+                 [this, request, stored, status, note](CommitOutcome outcome, std::int64_t /*version*/) {
+                   --m_open_plans;
+                   if (outcome != CommitOutcome::kCommitted) {
+                     return Fail(request, kStatusUnavailable,
+                                 Error{ErrorId::kStoreUnavailable, "", "the plan could not be stored"},
+                                 Verdict::kNotRun);
+                   }
+                   Event event;
+                   event.kind = EventKind::kPlanMade;
+                   event.config_version = stored.base_version;
+                   event.detail = stored.id.value();
+                   m_context.effects.Emit(event);
+                   Response response;
+                   response.status = status;
+                   response.body = json::serialize(ToJson(stored));
+                   if (!note.empty()) response.error = Error{ErrorId::kPlanConflict, "/base_version", note};
+                   m_context.effects.Reply(request, response);
+                 });
+}
+
+void Operations::Confirm(RequestId request, const PlanId& plan, std::int64_t base_version) {
+  ReadRequest read;
+  read.keys = {PlanKey(plan), ConfirmedKey(plan), std::string(kConfigKey)};
+  ++m_open_plans;
+  m_table.Read(std::move(read), [this, request, plan, base_version](const ReadReply& reply) {
+    --m_open_plans;
+    OnPlanRead(request, plan, base_version, reply);
+  });
+}
+
+void Operations::OnPlanRead(RequestId request, const PlanId& id, std::int64_t base_version, const ReadReply& reply) {
+  if (!reply.available) {
+    return Fail(request, kStatusUnavailable,
+                Error{ErrorId::kStoreUnavailable, "", "no change can be confirmed while the store is unreachable"},
+                Verdict::kNotRun);
+  }
+  const Row* plan_row = nullptr;
+  for (const Row& row : reply.rows) {
+    if (row.key == kConfigKey) m_config.OnRow(row);
+    if (row.key == PlanKey(id)) plan_row = &row;
+  }
+  if (plan_row == nullptr) {
+    return Fail(request, kStatusNotFound, Error{ErrorId::kPlanUnknown, id.value(), "no such plan, or confirmed before"},
+                Verdict::kNotRun);
+  }
+  const Result<StoredPlan> stored = DecodeIntents(plan_row->value);
+  if (!stored) return Fail(request, kStatusBadRequest, stored.error(), Verdict::kNotRun);
+  const bool is_current =
+      stored->base_version == m_config.config().version && base_version == m_config.config().version;
+  if (!is_current) return Conflict(request, stored->intents);
+  const Result<jaymast::Plan> plan = MakePlan(m_config.config(), stored->intents, m_hooks.facts());
+  if (!plan) return Fail(request, kStatusBadRequest, plan.error(), Verdict::kNotRun);
+  CommitPlan(request, id, plan_row->version, *plan);
+}
+
+void Operations::Conflict(RequestId request, const std::vector<Intent>& intents) {
+  const Result<jaymast::Plan> plan = MakePlan(m_config.config(), intents, m_hooks.facts());
+  if (!plan) return Fail(request, kStatusConflict, plan.error(), Verdict::kNotRun);
+  StorePlan(request, *plan, kStatusConflict, "the configuration has changed; this is a new plan");
+}
+
+void Operations::CommitPlan(RequestId request, const PlanId& id, std::int64_t plan_row_version,
+                            const jaymast::Plan& plan) {
+  jaymast::Plan confirmed = plan;
+  confirmed.id = id;
+  const bool changes_config = confirmed.target != m_config.config();
+  std::vector<Condition> conditions = {{PlanKey(id), plan_row_version},
+                                       {std::string(kConfigKey), m_config.row_version()}};
+  std::vector<Write> writes = {{PlanKey(id), std::nullopt}};
+  if (changes_config) {
+    confirmed.target.version = m_config.config().version + 1;
+    writes.push_back({std::string(kConfigKey), json::serialize(ToJson(confirmed.target))});
+  }
+  // The intents to run are recorded with the confirmation, so that another entry submits them if this one dies.
+  if (HasRuns(plan.intents)) {
+    writes.push_back({ConfirmedKey(id), json::serialize(EncodeIntents(plan.base_version, plan.intents))});
+  }
+  ++m_open_plans;
+  m_table.Commit(std::move(conditions), std::move(writes),
+                 [this, request, confirmed, changes_config](CommitOutcome outcome, std::int64_t version) {
+                   --m_open_plans;
+                   switch (outcome) {
+                     case CommitOutcome::kCommitted:
+                       return OnCommitted(request, confirmed, changes_config, version);
+                     case CommitOutcome::kConflict:
+                       // Another operator was faster. The next read finds the new version or the plan gone.
+                       return Confirm(request, confirmed.id, confirmed.base_version);
+                     case CommitOutcome::kUnavailable:
+                       return Fail(request, kStatusUnavailable,
+                                   Error{ErrorId::kStoreUnavailable, "", "the confirmation was not recorded"},
+                                   Verdict::kNotRun);
+                   }
+                 });
+}
+
+void Operations::OnCommitted(RequestId request, const jaymast::Plan& plan, bool changes_config, std::int64_t version) {
+  if (HasRuns(plan.intents)) SubmitRuns(plan.id, plan.intents);
+  WaitingConfirm waiting{request, plan.target.version, m_context.Now() + kInForceTarget};
+  if (!changes_config) return AnswerConfirm(waiting, {});
+  Event event;
+  event.kind = EventKind::kConfigCommitted;
+  event.config_version = plan.target.version;
+  event.detail = plan.id.value();
+  m_context.effects.Emit(event);
+  m_config.OnCommitted(plan.target, version);
+  m_hooks.push(plan.target);
+  m_waiting[request] = waiting;
+  CheckAcknowledgements();
+}
+
+void Operations::SubmitRuns(const PlanId& id, const std::vector<Intent>& intents) {
+  if (!m_submitting.insert(id).second) return;
+  std::vector<TaskSpec> specs;
+  for (const Intent& intent : intents) {
+    const auto* run = std::get_if<RunIntent>(&intent);
+    if (run == nullptr) continue;
+    for (std::int64_t i = 0; i < run->replicas; ++i) specs.push_back(run->spec);
+  }
+  m_tasks.SubmitForPlan(id, std::move(specs), [this, id](bool is_complete) {
+    if (!is_complete) {
+      m_submitting.erase(id);
+      return;
+    }
+    m_table.Commit({}, {{ConfirmedKey(id), std::nullopt}},
+                   [this, id](CommitOutcome /*outcome*/, std::int64_t /*version*/) { m_submitting.erase(id); });
+  });
+}
+
+void Operations::OnConfirmedRows(const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
+    const PlanId id(row.key.substr(kConfirmedPrefix.size()));
+    const Result<StoredPlan> plan = DecodeIntents(row.value);
+    if (plan) SubmitRuns(id, plan->intents);
+  }
+}
+
+std::vector<EntryId> Operations::NotInForce(const std::vector<Row>& rows, std::int64_t version) const {
+  std::set<EntryId> missing;
+  std::set<EntryId> present;
+  for (const Row& row : rows) {
+    if (!row.key.starts_with(kEntryPrefix)) continue;
+    const EntryId id(row.key.substr(kEntryPrefix.size()));
+    present.insert(id);
+    const Result<EntryRecord> record = DecodeEntryRecord(row.value);
+    if (!record || record->config_version < version) missing.insert(id);
+  }
+  for (const Row& row : rows) {
+    if (!row.key.starts_with(kOwnerPrefix)) continue;
+    const Result<OwnerRecord> record = DecodeOwnerRecord(row.value);
+    if (!record) continue;
+    // An entry whose record is gone may still start work on upstreams that nobody else has fenced.
+    for (const EntryId& id : {record->owner, record->covered_by}) {
+      if (!id.empty() && !present.contains(id)) missing.insert(id);
+    }
+  }
+  return {missing.begin(), missing.end()};
+}
+
+void Operations::CheckAcknowledgements() {
+  if (m_checking || m_waiting.empty()) return;
+  m_checking = true;
+  ReadRequest request;
+  request.prefixes = {std::string(kEntryPrefix), std::string(kOwnerPrefix)};
+  m_table.Read(std::move(request), [this](const ReadReply& reply) {
+    m_checking = false;
+    std::vector<WaitingConfirm> done;
+    for (const auto& [request_id, waiting] : m_waiting) {
+      const bool is_late = m_context.Now() >= waiting.answer_at;
+      const bool is_in_force = reply.available && NotInForce(reply.rows, waiting.version).empty();
+      if (is_in_force || is_late) done.push_back(waiting);
+    }
+    for (const WaitingConfirm& waiting : done) {
+      m_waiting.erase(waiting.request);
+      AnswerConfirm(waiting, reply.available ? NotInForce(reply.rows, waiting.version)
+                                             : std::vector<EntryId>{EntryId("unknown: the store is unreachable")});
+    }
+    if (!m_waiting.empty()) m_context.After(kCheckInterval, [this] { CheckAcknowledgements(); });
+  });
+}
+
+void Operations::AnswerConfirm(const WaitingConfirm& waiting, const std::vector<EntryId>& not_in_force) {
+  json::array missing;
+  for (const EntryId& id : not_in_force) {
+    missing.emplace_back(json::object{{"entry", id.value()}, {"domain", DomainOf(id).value()}});
+  }
+  const bool is_accepted = not_in_force.empty();
+  if (is_accepted) {
+    Event event;
+    event.kind = EventKind::kConfigAccepted;
+    event.config_version = waiting.version;
+    m_context.effects.Emit(event);
+  }
+  Response response;
+  response.status = is_accepted ? kStatusOk : kStatusAccepted;
+  response.verdict = Verdict::kRan;
+  response.body = json::serialize(
+      json::object{{"accepted", is_accepted}, {"version", waiting.version}, {"not_in_force", std::move(missing)}});
+  m_context.effects.Reply(waiting.request, response);
+}
+
+void Operations::AbandonAll() {
+  for (const auto& [request, waiting] : m_waiting) {
+    Fail(request, kStatusUnavailable,
+         Error{ErrorId::kNotServing, "", "this entry lost its lease; look at the configuration version"},
+         Verdict::kMayHaveRun);
+  }
+  m_waiting.clear();
+}
+
+}  // namespace jaymast
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -51,12 +51,14 @@
   bool IsStopped() const;
 
  private:
-  void Restart();
+  /// Starts over under a new id. Not done inside a callback of the node that is replaced.
+  void RestartIfDue();
 
   EntrySettings m_settings;
   Effects& m_effects;
   std::unique_ptr<EntryNode> m_node;
   std::optional<InstanceList> m_instances;
+  bool m_restart_due = false;
 };
 
 }  // namespace jaymast
--- /dev/null
+++ b/src/core/entry_node.cc
@@ -0,0 +1,334 @@
+#include "core/entry_node.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <utility>
+
+#include "model/codec.h"
+
+namespace jaymast {
+namespace {
+
+/// Interval of reading the records of all failure domains. The own one is read with each renewal.
+constexpr Duration kFullReadInterval = std::chrono::seconds(5);
+
+/// Owner rows of a failure domain read per renewal interval, so that the read traffic does not grow with the domain.
+constexpr std::int64_t kOwnerRowsPerInterval = 64;
+
+/// An entry serves after this time even if some of its upstreams do not answer.
+constexpr Duration kRecoverTimeout = std::chrono::seconds(3);
+
+constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
+
+/// Other failure domains that get a heartbeat each interval, drawn at random.
+constexpr std::size_t kRemoteSummaries = 4;
+
+/// Up to this many peers, all get a heartbeat.
+constexpr std::size_t kAllSummaries = 16;
+
+std::vector<Row> RowsWithPrefix(const std::vector<Row>& rows, std::string_view prefix) {
+  std::vector<Row> found;
+  for (const Row& row : rows) {
+    if (row.key.starts_with(prefix)) found.push_back(row);
+  }
+  return found;
+}
+
+}  // namespace
+
+EntryId EntryNode::MakeId(const EntrySettings& settings, Effects& effects) {
+  constexpr std::uint64_t kSuffixBits = 0xffffffffULL;
+  return EntryId(fmt::format("{}.{}.{:08x}", settings.domain.value(), settings.name, effects.Random() & kSuffixBits));
+}
+
+EntryNode::EntryNode(const EntrySettings& settings, Effects& effects, std::function<void()> on_lease_lost)
+    : m_effects(effects, settings.name),
+      m_context{settings, m_effects, m_timers, MakeId(settings, effects)},
+      m_table(m_context),
+      m_config(m_context, [this] { OnConfigInstalled(); }),
+      m_membership(m_context, m_table, MembershipHooks(std::move(on_lease_lost))),
+      m_allotments(m_context, m_table, m_config, m_membership, [this] { m_executor.Dispatch(); }),
+      m_executor(m_context, m_config, m_membership, m_allotments, ExecutorHooks()),
+      m_ownership(m_context, m_table, m_membership, OwnershipHooks()),
+      m_router(m_context, m_config, m_membership, m_executor),
+      m_previews(m_context, m_config, m_router, m_executor),
+      m_tasks(m_context, m_table, m_config, m_membership, m_router,
+              TaskManager::Hooks{[this](const EntryId& to, const PeerMessage& message) { Send(to, message); }}),
+      m_operations(m_context, m_table, m_config, m_membership, m_tasks, OperationsHooks()) {}
+
+Membership::Hooks EntryNode::MembershipHooks(std::function<void()> on_lease_lost) {
+  Membership::Hooks hooks;
+  hooks.on_lease_lost = std::move(on_lease_lost);
+  hooks.on_peer_expired = [this](const EntryId& id) { OnPeerGone(id); };
+  hooks.on_state = [this](EntryState state) { OnState(state); };
+  return hooks;
+}
+
+Ownership::Hooks EntryNode::OwnershipHooks() {
+  Ownership::Hooks hooks;
+  hooks.on_acquired = [this](const Acquisition& acquisition) { m_executor.OnAcquired(acquisition); };
+  hooks.on_lost = [this](const UpstreamId& id) { m_executor.OnLost(id); };
+  hooks.on_covered = [this](const UpstreamId& id) { m_allotments.Settle(id); };
+  hooks.prepare_cover = [this](const UpstreamId& id, const EntryId& from,
+                               const std::function<void(CoverChange)>& done) {
+    m_executor.PrepareCover(id, from, done);
+  };
+  hooks.on_committed = [this](const UpstreamId& id) { m_executor.OnCommitted(id); };
+  hooks.on_lapsed = [this](const UpstreamId& id) { m_executor.OnLapsed(id); };
+  hooks.on_gone = [this](const UpstreamId& id) { m_allotments.Unlend(id); };
+  return hooks;
+}
+
+Executor::Hooks EntryNode::ExecutorHooks() {
+  Executor::Hooks hooks;
+  hooks.send = [this](const EntryId& to, const PeerMessage& message) { Send(to, message); };
+  hooks.on_refused = [this](const UpstreamId& id, const OwnerToken& current) { m_ownership.OnRefused(id, current); };
+  hooks.on_unreachable = [this](const UpstreamId& id) { m_ownership.Suspend(id); };
+  return hooks;
+}
+
+Operations::Hooks EntryNode::OperationsHooks() {
+  Operations::Hooks hooks;
+  hooks.facts = [this] { return Facts(); };
+  hooks.push = [this](const ClusterConfig& config) { Push(config); };
+  return hooks;
+}
+
+void EntryNode::Start() {
+  m_started = true;
+  m_membership.Start();
+  m_executor.Start();
+  m_tasks.Start();
+  m_allotments.Start();
+  Sync();
+  SendSummaries();
+  Advance();
+}
+
+void EntryNode::OnState(EntryState state) {
+  Event event;
+  event.kind = EventKind::kEntryState;
+  event.other = m_context.self;
+  event.domain = m_context.settings.domain;
+  event.detail = std::string(ToString(state));
+  m_effects.Emit(event);
+  // Others choose owners by the state in the record.
+  if (m_started && state != EntryState::kStopped && state != EntryState::kIsolated) m_membership.Renew();
+}
+
+void EntryNode::Sync() {
+  m_context.After(m_context.settings.renew_interval, [this] { Sync(); });
+  if (m_syncing || IsStopped()) return;
+  m_syncing = true;
+  const Time now = m_context.Now();
+  const bool is_full = now >= m_next_full_read;
+  const bool has_owners = now >= m_next_owner_read;
+  ReadRequest request;
+  request.keys.emplace_back(kConfigKey);
+  request.prefixes.emplace_back(kAdoptPrefix);
+  request.prefixes.emplace_back(kConfirmedPrefix);
+  const std::string own_prefix = std::string(kEntryPrefix) + m_context.settings.domain.value() + ".";
+  request.prefixes.push_back(is_full ? std::string(kEntryPrefix) : own_prefix);
+  if (has_owners) request.prefixes.push_back(OwnerPrefix(m_context.settings.domain));
+  m_table.Read(std::move(request), [this, is_full, has_owners](const ReadReply& reply) {
+    m_syncing = false;
+    if (reply.available) OnSynced(is_full, has_owners, reply);
+    m_ownership.Evaluate();
+  });
+}
+
+void EntryNode::OnSynced(bool is_full, bool has_owners, const ReadReply& reply) {
+  const Time now = m_context.Now();
+  const std::vector<Row> config = RowsWithPrefix(reply.rows, kConfigKey);
+  bool has_config = false;
+  for (const Row& row : config) {
+    if (row.key != kConfigKey) continue;
+    has_config = true;
+    m_config.OnRow(row);
+  }
+  if (!has_config) OnConfigMissing();
+  const std::string own_prefix = std::string(kEntryPrefix) + m_context.settings.domain.value() + ".";
+  const std::string prefix = is_full ? std::string(kEntryPrefix) : own_prefix;
+  const bool changed = m_membership.OnRows(prefix, RowsWithPrefix(reply.rows, prefix));
+  if (is_full) m_next_full_read = now + kFullReadInterval;
+  if (has_owners) {
+    const std::vector<Row> owners = RowsWithPrefix(reply.rows, OwnerPrefix(m_context.settings.domain));
+    const std::int64_t intervals = 1 + static_cast<std::int64_t>(owners.size()) / kOwnerRowsPerInterval;
+    m_next_owner_read = now + m_context.settings.renew_interval * (intervals - 1);
+    m_ownership.OnRows(owners);
+  }
+  if (changed) m_next_owner_read = Time();
+  m_tasks.OnAdoptRows(RowsWithPrefix(reply.rows, kAdoptPrefix));
+  if (IsServing()) m_operations.OnConfirmedRows(RowsWithPrefix(reply.rows, kConfirmedPrefix));
+  ReclaimAllotments();
+}
+
+void EntryNode::OnConfigMissing() {
+  ClusterConfig initial = m_context.settings.initial_config;
+  if (initial.version == 0) initial.version = 1;
+  m_table.Commit({{std::string(kConfigKey), 0}}, {{std::string(kConfigKey), boost::json::serialize(ToJson(initial))}},
+                 [this, initial](CommitOutcome outcome, std::int64_t version) {
+                   if (outcome == CommitOutcome::kCommitted) m_config.OnCommitted(initial, version);
+                 });
+}
+
+void EntryNode::OnConfigInstalled() {
+  m_membership.AcknowledgeConfig(m_config.config().version);
+  m_executor.OnConfig();
+  if (m_started) m_membership.Renew();
+}
+
+void EntryNode::OnPeerGone(const EntryId& id) {
+  m_next_owner_read = Time();
+  if (DomainOf(id) == m_context.settings.domain) m_dead.insert(id);
+}
+
+void EntryNode::ReclaimAllotments() {
+  for (auto dead = m_dead.begin(); dead != m_dead.end();) {
+    if (!m_ownership.IsCleared(*dead)) {
+      ++dead;
+      continue;
+    }
+    m_allotments.ReclaimFrom(*dead);
+    dead = m_dead.erase(dead);
+  }
+}
+
+void EntryNode::Advance() {
+  m_context.After(kAdvanceInterval, [this] { Advance(); });
+  switch (m_membership.state()) {
+    case EntryState::kJoining:
+      if (m_membership.IsJoined() && m_config.IsLoaded()) {
+        m_recover_until = m_context.Now() + kRecoverTimeout;
+        m_membership.Handle(LifecycleEvent::kJoined);
+      }
+      return;
+    case EntryState::kRecovering:
+      m_ownership.Evaluate();
+      if (m_ownership.IsSettled() || m_context.Now() >= m_recover_until) {
+        m_membership.Handle(LifecycleEvent::kRecovered);
+      }
+      return;
+    case EntryState::kServing:
+    case EntryState::kIsolated:
+      return m_ownership.Evaluate();
+    case EntryState::kDraining:
+      return AdvanceDrain();
+    case EntryState::kStopped:
+      return;
+  }
+}
+
+void EntryNode::OnStopRequested() {
+  if (m_membership.state() == EntryState::kDraining || IsStopped()) return;
+  m_membership.Handle(LifecycleEvent::kStopRequested);
+  m_tasks.Drain();
+  m_executor.RefuseAllWaiting();
+  m_ownership.ReleaseAll();
+}
+
+void EntryNode::AdvanceDrain() {
+  const bool is_quiet = m_previews.open() == 0 && m_executor.OpenRuns() == 0 && m_tasks.IsQuiet() &&
+                        m_operations.IsIdle() && !m_ownership.IsReleasing();
+  if (!is_quiet || m_membership.IsLeaving()) return;
+  m_membership.Leave([this] { m_membership.Handle(LifecycleEvent::kDrained); });
+}
+
+void EntryNode::SendSummaries() {
+  m_context.After(m_context.settings.summary_interval, [this] { SendSummaries(); });
+  if (!m_membership.IsJoined()) return;
+  const Summary summary = m_executor.MakeSummary();
+  const auto& peers = m_membership.peers();
+  std::vector<EntryId> remote;
+  for (const auto& [id, peer] : peers) {
+    const bool is_near = peer.record.domain == m_context.settings.domain || peers.size() <= kAllSummaries;
+    if (is_near) {
+      m_effects.SendPeer(id, summary);
+    } else {
+      remote.push_back(id);
+    }
+  }
+  for (std::size_t i = 0; i < kRemoteSummaries && !remote.empty(); ++i) {
+    m_effects.SendPeer(remote[m_effects.Random() % remote.size()], summary);
+  }
+}
+
+void EntryNode::Push(const ClusterConfig& config) {
+  const ConfigPush push{boost::json::serialize(ToJson(config))};
+  for (const auto& [id, peer] : m_membership.peers()) m_effects.SendPeer(id, push);
+}
+
+void EntryNode::Send(const EntryId& to, const PeerMessage& message) {
+  if (to != m_context.self) return m_effects.SendPeer(to, message);
+  // Messages to this entry take the same path as those of peers, one step later.
+  m_timers.At(m_context.Now(), [this, message] { OnPeer(m_context.self, message); });
+}
+
+PlannerFacts EntryNode::Facts() const {
+  PlannerFacts facts;
+  facts.instances = m_instances;
+  for (const auto& [team, value] : m_config.config().teams) facts.running[team] = m_allotments.Used(team);
+  for (const auto& [id, task] : m_executor.tasks()) facts.placed[task.upstream].push_back(id.task.value());
+  return facts;
+}
+
+void EntryNode::OnInstances(const InstanceList& list) {
+  m_instances = list;
+  m_ownership.OnInstances(list);
+  m_executor.OnInstances(list);
+}
+
+void EntryNode::OnTick() { m_timers.Run(m_context.Now()); }
+
+void EntryNode::OnRequestGone(RequestId id) {
+  m_previews.OnRequestGone(id);
+  m_tasks.OnRequestGone(id);
+}
+
+void EntryNode::AbandonAll() {
+  m_previews.AbandonAll();
+  m_tasks.AbandonAll();
+  m_operations.AbandonAll();
+}
+
+bool EntryNode::IsServing() const {
+  const EntryState state = m_membership.state();
+  return state == EntryState::kServing || state == EntryState::kIsolated;
+}
+
+bool EntryNode::IsReady() const { return IsServing() && m_config.IsLoaded(); }
+
+/// Handles a message of a peer, or of this entry to itself.
+struct PeerVisitor {
+  EntryNode& node;
+  const EntryId& from;
+
+  void operator()(const Summary& message) const { node.m_membership.OnSummary(from, message); }
+  void operator()(const RunRequest& message) const {
+    node.m_executor.Run(message, from,
+                        [this_node = &node, to = from](const RunReply& reply) { this_node->Send(to, reply); });
+  }
+  void operator()(const RunReply& message) const { node.m_previews.OnRunReply(message); }
+  void operator()(const HoldRequest& message) const { node.m_executor.OnHoldRequest(from, message); }
+  void operator()(const HoldReply& message) const { node.m_tasks.OnHoldReply(from, message); }
+  void operator()(const StartOrder& message) const { node.m_executor.OnStartOrder(from, message); }
+  void operator()(const ReleaseHold& message) const { node.m_executor.OnReleaseHold(message); }
+  void operator()(const TaskResult& message) const { node.m_tasks.OnResult(from, message); }
+  void operator()(const TaskResultAck& message) const { node.m_executor.OnResultAck(message); }
+  void operator()(const TaskProbe& message) const { node.m_executor.OnProbe(from, message); }
+  void operator()(const TaskRunning& message) const { node.m_tasks.OnRunning(message); }
+  void operator()(const StopOrder& message) const { node.m_executor.OnStopOrder(message); }
+  void operator()(const ConfigPush& message) const { node.m_config.OnPush(message.config); }
+  void operator()(const AllotmentRequest& message) const { node.m_allotments.OnRequest(message.team, message.amount); }
+  void operator()(const TaskQuery& message) const { node.m_tasks.OnQuery(from, message); }
+  void operator()(const TaskQueryReply& message) const { node.m_tasks.OnQueryReply(message); }
+};
+
+void EntryNode::OnPeer(const EntryId& from, const PeerMessage& message) {
+  if (IsStopped()) return;
+  std::visit(PeerVisitor{*this, from}, message);
+}
+
+}  // namespace jaymast
--- a/src/core/upstream_protocol.h
+++ b/src/core/upstream_protocol.h
@@ -119,6 +119,7 @@
   CallStatus status = CallStatus::kUnknown;
   std::string reason;                                    ///< why the runner refused
   OwnerToken current;                                    ///< the owner that the runner accepts
+  std::int64_t previous_epoch = 0;                       ///< highest epoch accepted before a fence; 0 after a restart
   std::int64_t now_ms = 0;                               ///< the runner's clock when it answered
   RunnerTaskState result = RunnerTaskState::kSucceeded;  ///< answer to RunTaskRequest
   std::string output;                                    ///< answer to RunTaskRequest
--- /dev/null
+++ b/src/limits/allotments.cc
@@ -0,0 +1,322 @@
+#include "limits/allotments.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <numeric>
+#include <utility>
+
+#include "configuration/config_store.h"
+#include "core/table_client.h"
+#include "membership/membership.h"
+#include "model/codec.h"
+
+namespace jaymast {
+namespace {
+
+/// Time between two requests to other holders for the same team.
+constexpr Duration kRequestInterval = std::chrono::milliseconds(200);
+
+/// A base allotment is this part of an even split, so that entries without demand leave most of the limit free.
+constexpr std::int64_t kBaseDivisor = 4;
+
+constexpr Duration kSettleRetryInterval = std::chrono::seconds(1);
+
+/// A raise at most doubles the use and adds this many, so that repeated refusals of one task do not take the whole
+/// limit.
+constexpr std::int64_t kRaiseStep = 8;
+
+constexpr Duration kPrewarmInterval = std::chrono::milliseconds(200);
+
+constexpr std::string_view kRowPrefix = "allot/";
+
+std::string RowKey(const TeamId& team) { return std::string(kRowPrefix) + team.value(); }
+
+std::int64_t Sum(const std::map<EntryId, std::int64_t>& holders) {
+  return std::accumulate(holders.begin(), holders.end(), std::int64_t{0},
+                         [](std::int64_t sum, const auto& holder) { return sum + holder.second; });
+}
+
+std::string Encode(const std::map<EntryId, std::int64_t>& holders) {
+  boost::json::object object;
+  for (const auto& [entry, amount] : holders) {
+    if (amount > 0) object[entry.value()] = amount;
+  }
+  return boost::json::serialize(object);
+}
+
+std::map<EntryId, std::int64_t> Decode(const std::string& text) {
+  std::map<EntryId, std::int64_t> holders;
+  const Result<boost::json::object> object = ParseObject(text, "allot");
+  if (!object) return holders;
+  for (const auto& [entry, amount] : *object) {
+    if (amount.is_int64()) holders[EntryId(std::string_view(entry))] = amount.get_int64();
+  }
+  return holders;
+}
+
+}  // namespace
+
+Allotments::Allotments(Context& context, TableClient& table, const ConfigStore& config, const Membership& membership,
+                       std::function<void()> on_raised)
+    : m_context(context),
+      m_table(table),
+      m_config(config),
+      m_membership(membership),
+      m_on_raised(std::move(on_raised)) {}
+
+void Allotments::Start() { Prewarm(); }
+
+std::int64_t Allotments::Limit(const TeamId& team) const {
+  const auto known = m_config.config().teams.find(team);
+  return known == m_config.config().teams.end() ? 0 : known->second.limit;
+}
+
+std::int64_t Allotments::Own(const TeamState& state) const {
+  const auto own = state.holders.find(m_context.self);
+  return own == state.holders.end() ? 0 : own->second;
+}
+
+std::int64_t Allotments::Allowed(const TeamId& team) const {
+  const auto state = m_teams.find(team);
+  if (state == m_teams.end()) return 0;
+  const std::int64_t own = Own(state->second);
+  const std::int64_t sum = Sum(state->second.holders);
+  const std::int64_t limit = Limit(team);
+  if (sum <= limit) return own;
+  // The limit was lowered. Every holder cuts its part by the same ratio, so that the parts together keep the new limit
+  // before the row has been rewritten.
+  return own * limit / sum;
+}
+
+std::int64_t Allotments::Used(const TeamId& team) const {
+  const auto state = m_teams.find(team);
+  return state == m_teams.end() ? 0 : state->second.used;
+}
+
+bool Allotments::TryTake(const TeamId& team) {
+  TeamState& state = m_teams[team];
+  if (state.used < Allowed(team)) {
+    ++state.used;
+    return true;
+  }
+  ++state.wanted;
+  Adjust(team);
+  return false;
+}
+
+void Allotments::Release(const TeamId& team) { --m_teams[team].used; }
+
+void Allotments::CountInherited(const TeamId& team, std::int64_t count) { m_teams[team].used += count; }
+
+void Allotments::PrepareMove(const std::map<TeamId, std::int64_t>& counts, const EntryId& from,
+                             std::function<void(std::vector<Condition>, std::vector<Write>)> done) {
+  if (counts.empty() || from.empty() || from == m_context.self) return done({}, {});
+  ReadRequest request;
+  for (const auto& [team, count] : counts) request.keys.push_back(RowKey(team));
+  m_table.Read(std::move(request), [this, counts, from, done = std::move(done)](const ReadReply& reply) {
+    if (!reply.available) return;
+    std::vector<Condition> conditions;
+    std::vector<Write> writes;
+    for (const Row& row : reply.rows) {
+      const TeamId team(row.key.substr(kRowPrefix.size()));
+      Holders holders = Decode(row.value);
+      const std::int64_t moved = std::min(counts.at(team), holders[from]);
+      holders[from] -= moved;
+      holders[m_context.self] += moved;
+      conditions.push_back({row.key, row.version});
+      writes.push_back({row.key, Encode(holders)});
+    }
+    done(std::move(conditions), std::move(writes));
+  });
+}
+
+void Allotments::Refresh(const std::vector<TeamId>& teams) {
+  for (const TeamId& team : teams) {
+    ReadRequest request;
+    request.keys.push_back(RowKey(team));
+    m_table.Read(std::move(request), [this, team](const ReadReply& reply) {
+      if (reply.available) OnRow(team, reply.rows);
+      m_on_raised();
+    });
+  }
+}
+
+void Allotments::Lend(const UpstreamId& upstream, const std::map<TeamId, std::int64_t>& counts) {
+  Lent& lent = m_lent[upstream];
+  lent.sequence = m_next_lent++;
+  for (const auto& [team, count] : counts) lent.counts[team] += count;
+}
+
+void Allotments::Settle(const UpstreamId& upstream) {
+  const auto lent = m_lent.find(upstream);
+  if (lent == m_lent.end()) return;
+  ReadRequest request;
+  for (const auto& [team, count] : lent->second.counts) request.keys.push_back(RowKey(team));
+  // The rows are read before the count is dropped, so that the allotment which has moved away is known to be gone.
+  const std::uint64_t sequence = lent->second.sequence;
+  m_table.Read(std::move(request), [this, upstream, sequence](const ReadReply& reply) {
+    if (!reply.available) {
+      m_context.After(kSettleRetryInterval, [this, upstream] { Settle(upstream); });
+      return;
+    }
+    for (const Row& row : reply.rows) OnRow(TeamId(row.key.substr(kRowPrefix.size())), {row});
+    const auto current = m_lent.find(upstream);
+    if (current != m_lent.end() && current->second.sequence == sequence) Unlend(upstream);
+  });
+}
+
+void Allotments::Unlend(const UpstreamId& upstream) {
+  const auto lent = m_lent.find(upstream);
+  if (lent == m_lent.end()) return;
+  for (const auto& [team, count] : lent->second.counts) m_teams[team].used -= count;
+  m_lent.erase(lent);
+}
+
+void Allotments::OnCommitted(const TeamId& team, const Holders& holders, std::int64_t version) {
+  TeamState& state = m_teams[team];
+  if (version > state.row_version) {
+    state.row_version = version;
+    state.holders = holders;
+  }
+  EmitChange(team);
+  m_on_raised();
+}
+
+std::int64_t Allotments::BaseAmount(const TeamId& team) const {
+  const auto entries = static_cast<std::int64_t>(m_membership.peers().size()) + 1;
+  return Limit(team) / (kBaseDivisor * entries);
+}
+
+bool Allotments::Raise(const TeamId& team, Holders& holders) {
+  TeamState& state = m_teams[team];
+  const std::int64_t sum = Sum(holders);
+  const std::int64_t free = Limit(team) - sum;
+  const std::int64_t own = holders[m_context.self];
+  if (free < 0) {
+    // Writes the cut that Allowed() already applies.
+    holders[m_context.self] = std::max(state.used, own * Limit(team) / sum);
+    return holders[m_context.self] != own;
+  }
+  const std::int64_t target = std::max(state.used + std::min(state.wanted, state.used + kRaiseStep), BaseAmount(team));
+  if (target <= own || free == 0) return false;
+  holders[m_context.self] = own + std::min(free, target - own);
+  return true;
+}
+
+void Allotments::Adjust(const TeamId& team) {
+  if (m_teams[team].adjusting) return;
+  Update(team, [this, team](Holders& holders) { return Raise(team, holders); });
+}
+
+void Allotments::Update(const TeamId& team, Change change) {
+  m_teams[team].adjusting = true;
+  ReadRequest request;
+  request.keys.push_back(RowKey(team));
+  m_table.Read(std::move(request), [this, team, change = std::move(change)](const ReadReply& reply) {
+    if (!reply.available) {
+      m_teams[team].adjusting = false;
+      m_teams[team].wanted = 0;
+      return;
+    }
+    OnRow(team, reply.rows);
+    CommitUpdate(team, change);
+  });
+}
+
+void Allotments::OnRow(const TeamId& team, const std::vector<Row>& rows) {
+  TeamState& state = m_teams[team];
+  if (rows.empty() || rows.front().version < state.row_version) return;
+  state.row_version = rows.front().version;
+  state.holders = Decode(rows.front().value);
+}
+
+void Allotments::CommitUpdate(const TeamId& team, const Change& change) {
+  TeamState& state = m_teams[team];
+  Holders holders = state.holders;
+  if (!change(holders)) {
+    state.adjusting = false;
+    const std::int64_t missing = std::min(state.wanted, state.used + kRaiseStep);
+    state.wanted = 0;
+    if (missing > 0) AskHolders(team, missing);
+    return;
+  }
+  m_table.Commit({{RowKey(team), state.row_version}, m_membership.IsMember()}, {{RowKey(team), Encode(holders)}},
+                 [this, team, change, holders](CommitOutcome outcome, std::int64_t version) {
+                   TeamState& current = m_teams[team];
+                   current.adjusting = false;
+                   if (outcome == CommitOutcome::kConflict) return Update(team, change);
+                   current.wanted = 0;
+                   if (outcome != CommitOutcome::kCommitted) return;
+                   OnCommitted(team, holders, version);
+                 });
+}
+
+void Allotments::EmitChange(const TeamId& team) {
+  Event event;
+  event.kind = EventKind::kAllotmentChanged;
+  event.team = team;
+  event.amount = Own(m_teams[team]);
+  m_context.effects.Emit(event);
+}
+
+void Allotments::AskHolders(const TeamId& team, std::int64_t amount) {
+  TeamState& state = m_teams[team];
+  if (m_context.Now() < state.next_request) return;
+  state.next_request = m_context.Now() + kRequestInterval;
+  for (const auto& [entry, held] : state.holders) {
+    const bool is_askable = held > 0 && entry != m_context.self && m_membership.IsHeard(entry);
+    if (is_askable) m_context.effects.SendPeer(entry, AllotmentRequest{team, amount});
+  }
+  // Asks for what the holders have returned by then.
+  m_context.After(kRequestInterval, [this, team, amount] {
+    m_teams[team].wanted = std::max(m_teams[team].wanted, amount);
+    Adjust(team);
+  });
+}
+
+void Allotments::OnRequest(const TeamId& team, std::int64_t amount) {
+  TeamState& state = m_teams[team];
+  if (state.adjusting) return;
+  Update(team, [this, team, amount](Holders& holders) {
+    const std::int64_t own = holders[m_context.self];
+    const std::int64_t idle = own - m_teams[team].used;
+    const std::int64_t given = std::min(amount, (idle + 1) / 2);
+    if (given <= 0) return false;
+    // The reduction counts from now on, before it is committed, so that no start uses what is being given away.
+    m_teams[team].holders[m_context.self] = own - given;
+    holders[m_context.self] = own - given;
+    return true;
+  });
+}
+
+void Allotments::ReclaimFrom(const EntryId& dead) {
+  for (const auto& [team, value] : m_config.config().teams) {
+    Update(team, [dead](Holders& holders) { return holders.erase(dead) > 0; });
+  }
+}
+
+void Allotments::ReturnUnused() {
+  for (const auto& [team, state] : m_teams) {
+    Update(team, [this, team = team](Holders& holders) {
+      const std::int64_t own = holders[m_context.self];
+      const std::int64_t kept = std::min(own, m_teams[team].used);
+      m_teams[team].holders[m_context.self] = kept;
+      holders[m_context.self] = kept;
+      return kept != own;
+    });
+  }
+}
+
+void Allotments::Prewarm() {
+  const auto& teams = m_config.config().teams;
+  auto next = teams.upper_bound(m_prewarmed);
+  if (next == teams.end()) next = teams.begin();
+  if (next != teams.end()) {
+    m_prewarmed = next->first;
+    const bool needs_base = Allowed(m_prewarmed) < BaseAmount(m_prewarmed) && m_membership.IsLeaseValid();
+    if (needs_base) Adjust(m_prewarmed);
+  }
+  m_context.After(kPrewarmInterval, [this] { Prewarm(); });
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "core/context.h"
+#include "core/peer_message.h"
+#include "core/table.h"
+#include "membership/entry_record.h"
+#include "membership/lifecycle.h"
+
+namespace jaymast {
+
+class TableClient;
+
+/// What this entry knows of another entry.
+struct Peer {
+  EntryRecord record;
+  std::int64_t version = 0;
+  Time expires_at;   ///< earliest time at which the record may be expired, if it stays unchanged
+  Time heard_until;  ///< end of the time for which the last heartbeat counts
+  Summary summary;
+};
+
+/// The lease of this entry and the records of the others.
+class Membership {
+ public:
+  struct Hooks {
+    std::function<void()> on_lease_lost;                  ///< the record is gone: start over with a new id
+    std::function<void(const EntryId&)> on_peer_expired;  ///< this entry expired a peer and adopts its tasks
+    std::function<void(EntryState)> on_state;
+  };
+
+  Membership(Context& context, TableClient& table, Hooks hooks);
+
+  void Start();
+
+  /// Renews the lease record at once, for example to acknowledge a configuration.
+  void Renew();
+
+  /// Takes in the rows of a read of all records whose key begins with `prefix`.
+  /// @return whether a peer came or went
+  bool OnRows(const std::string& prefix, const std::vector<Row>& rows);
+
+  void OnSummary(const EntryId& from, const Summary& summary);
+
+  /// Sets the configuration version that the next renewals acknowledge.
+  void AcknowledgeConfig(std::int64_t version) { m_config_version = version; }
+
+  void Handle(LifecycleEvent event) { m_lifecycle.Handle(event); }
+
+  /// Deletes the lease record and names a successor for the tasks whose home is this entry. `done` runs once that is
+  /// committed or the store cannot be reached.
+  void Leave(std::function<void()> done);
+
+  /// Holds as long as this entry is a member: no other entry has taken over its tasks.
+  Condition IsMember() const;
+
+  EntryState state() const { return m_lifecycle.state(); }
+  bool IsJoined() const { return m_record_version != 0; }
+  bool IsLeaseValid() const;
+  bool IsLeaving() const { return m_leaving; }
+
+  /// Whether this entry may start work now: its lease is valid, or the store is known to be unreachable.
+  bool MayStart() const;
+
+  const std::map<EntryId, Peer>& peers() const { return m_peers; }
+
+  /// Whether an entry has a lease record, as far as known.
+  bool HasRecord(const EntryId& id) const;
+
+  /// Whether a peer's heartbeats arrive.
+  bool IsHeard(const EntryId& id) const;
+
+  /// This entry and the peers of its failure domain that can own upstreams.
+  std::vector<EntryId> OwnerCandidates() const;
+
+ private:
+  void ScheduleRenewal();
+  void OnRenewed(Time sent_at, bool committed, std::int64_t version);
+  void ExpirePeers();
+  bool IsExpiryDue(const EntryId& id, const Peer& peer) const;
+  Duration ExpiryDelay(const EntryId& id, const Peer& peer) const;
+  void Expire(const EntryId& id, std::int64_t version);
+  bool RemoveAbsentPeers(const std::string& prefix, const std::vector<Row>& rows);
+  EntryId Successor() const;
+
+  Context& m_context;
+  TableClient& m_table;
+  Hooks m_hooks;
+  Lifecycle m_lifecycle;
+  std::map<EntryId, Peer> m_peers;
+  std::int64_t m_record_version = 0;
+  std::int64_t m_home_version = 0;
+  std::int64_t m_renewals = 0;
+  std::int64_t m_config_version = 0;
+  Time m_lease_deadline;
+  Time m_store_lost_until;  ///< until then a failed renewal proves that the store is unreachable
+  bool m_renewing = false;
+  bool m_renew_again = false;
+  bool m_leaving = false;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/tasks/journal.cc
@@ -0,0 +1,133 @@
+#include "tasks/journal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "membership/membership.h"
+
+namespace jaymast {
+namespace {
+
+/// Bounds of one row, so that a transaction stays small for the table service.
+constexpr std::size_t kMaxRecordsPerRow = 64;
+constexpr std::size_t kMaxBytesPerRow = 1U << 20U;
+constexpr std::size_t kMaxDeletesPerWrite = 64;
+
+std::size_t SizeOf(const JournalRecord& record) {
+  return record.spec.body.size() + record.checkpoint.size() + record.end.output.size();
+}
+
+}  // namespace
+
+std::string JournalPrefix(const EntryId& home) { return "task/" + home.value() + "/"; }
+
+Journal::Journal(Context& context, TableClient& table, const Membership& membership)
+    : m_context(context), m_table(table), m_membership(membership) {}
+
+void Journal::Start() {
+  Flush();
+  m_context.After(m_context.settings.journal_interval, [this] { Start(); });
+}
+
+void Journal::Append(JournalRecord record, std::optional<Write> insert, Done done) {
+  m_pending.push_back(Pending{std::move(record), std::move(insert), std::move(done)});
+}
+
+Journal::Batch Journal::TakeBatch() {
+  std::size_t count = 0;
+  std::size_t bytes = 0;
+  while (count < m_pending.size() && count < kMaxRecordsPerRow && bytes < kMaxBytesPerRow) {
+    bytes += SizeOf(m_pending[count].record);
+    ++count;
+  }
+  const auto end = m_pending.begin() + static_cast<std::ptrdiff_t>(count);
+  Batch batch(std::make_move_iterator(m_pending.begin()), std::make_move_iterator(end));
+  m_pending.erase(m_pending.begin(), end);
+  return batch;
+}
+
+void Journal::Flush() {
+  while (!m_pending.empty() && m_table.TakeWriteBudget()) WriteBatch(TakeBatch());
+}
+
+void Journal::WriteBatch(Batch batch) {
+  std::vector<Condition> conditions = {m_membership.IsMember()};
+  std::vector<Write> writes;
+  std::vector<JournalRecord> records;
+  for (const Pending& pending : batch) {
+    records.push_back(pending.record);
+    if (!pending.insert) continue;
+    conditions.push_back({pending.insert->key, 0});
+    writes.push_back(*pending.insert);
+  }
+  const std::string key = fmt::format("{}{:012}", JournalPrefix(m_context.self), m_next_row++);
+  writes.push_back({key, EncodeRecords(records)});
+  const std::size_t deletes = std::min(m_deletable.size(), kMaxDeletesPerWrite);
+  for (std::size_t i = 0; i < deletes; ++i) writes.push_back({m_deletable[i], std::nullopt});
+  m_deletable.erase(m_deletable.begin(), m_deletable.begin() + static_cast<std::ptrdiff_t>(deletes));
+  ++m_open_writes;
+  auto shared = std::make_shared<Batch>(std::move(batch));
+  m_table.Commit(std::move(conditions), std::move(writes),
+                 [this, key, shared](CommitOutcome outcome, std::int64_t /*version*/) {
+                   --m_open_writes;
+                   if (outcome == CommitOutcome::kConflict) return OnConflict(std::move(*shared));
+                   if (outcome == CommitOutcome::kCommitted) {
+                     for (const Pending& pending : *shared) Register(key, pending.record.id.task);
+                   }
+                   for (const Pending& pending : *shared) pending.done(outcome);
+                 });
+}
+
+void Journal::OnConflict(Batch batch) {
+  ReadRequest request;
+  request.keys.push_back(m_membership.IsMember().key);
+  for (const Pending& pending : batch) {
+    if (pending.insert) request.keys.push_back(pending.insert->key);
+  }
+  ++m_open_writes;
+  auto shared = std::make_shared<Batch>(std::move(batch));
+  m_table.Read(std::move(request), [this, shared](const ReadReply& reply) {
+    --m_open_writes;
+    std::set<std::string> present;
+    for (const Row& row : reply.rows) present.insert(row.key);
+    const bool is_member = present.contains(m_membership.IsMember().key);
+    for (Pending& pending : *shared) {
+      if (!reply.available || !is_member) {
+        // The transaction was refused, so nothing of it was written.
+        pending.done(CommitOutcome::kUnavailable);
+      } else if (pending.insert && present.contains(pending.insert->key)) {
+        pending.done(CommitOutcome::kConflict);
+      } else {
+        m_pending.push_back(std::move(pending));
+      }
+    }
+  });
+}
+
+void Journal::Register(const std::string& key, const TaskId& task) {
+  m_rows[key].insert(task);
+  m_rows_of_task[task].insert(key);
+}
+
+void Journal::AddRow(const std::string& key, const std::vector<JournalRecord>& records) {
+  for (const JournalRecord& record : records) Register(key, record.id.task);
+}
+
+void Journal::Forget(const TaskId& task, const std::string& extra_row) {
+  if (!extra_row.empty()) m_deletable.push_back(extra_row);
+  const auto rows = m_rows_of_task.find(task);
+  if (rows == m_rows_of_task.end()) return;
+  for (const std::string& key : rows->second) {
+    const auto row = m_rows.find(key);
+    row->second.erase(task);
+    if (!row->second.empty()) continue;
+    m_deletable.push_back(key);
+    m_rows.erase(row);
+  }
+  m_rows_of_task.erase(rows);
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/tasks/journal_record.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <array>
+#include <boost/json/fwd.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/enum_names.h"
+#include "base/result.h"
+#include "core/upstream_protocol.h"
+#include "tasks/home_task.h"
+
+namespace jaymast {
+
+enum class RecordKind {
+  kAccepted,  ///< spec
+  kClaimed,   ///< attempt, upstream, domain, epoch, owner
+  kReleased,  ///< the claimed attempt has ended and the task waits again, from the checkpoint
+  kEnded,     ///< end
+};
+
+template <>
+struct EnumNames<RecordKind> {
+  static constexpr std::array<std::string_view, 4> kNames = {"accepted", "claimed", "released", "ended"};
+};
+
+/// One record of a task's history. The records of a task apply in the order of their row versions.
+struct JournalRecord {
+  RecordKind kind = RecordKind::kAccepted;
+  AttemptId id;
+  TaskSpec spec;
+  EntryId owner;
+  UpstreamId upstream;
+  DomainId domain;
+  std::int64_t epoch = 0;
+  std::string checkpoint;
+  TaskEnd end;
+};
+
+std::string EncodeRecords(const std::vector<JournalRecord>& records);
+Result<std::vector<JournalRecord>> DecodeRecords(const std::string& text);
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/tasks/task_adoption.cc
@@ -0,0 +1,118 @@
+// Taking over the tasks of entries that left or expired.
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "membership/membership.h"
+#include "tasks/task_manager.h"
+
+namespace jaymast {
+namespace {
+
+/// The dead home may have asked for holds with attempt numbers that it never recorded. The adopter skips this many.
+constexpr std::int64_t kAdoptedAttemptGap = 1000;
+
+}  // namespace
+
+void TaskManager::OnAdoptRows(const std::vector<Row>& rows) {
+  if (!m_membership.IsLeaseValid() || m_draining) return;
+  for (const Row& row : rows) {
+    const EntryId home(row.key.substr(kAdoptPrefix.size()));
+    const EntryId adopter(row.value);
+    if (adopter == m_context.self) {
+      if (m_adopted.insert(home).second) LoadJournal(home);
+      continue;
+    }
+    if (!m_membership.HasRecord(adopter)) AdoptOrphan(home, row.version);
+  }
+}
+
+void TaskManager::AdoptOrphan(const EntryId& home, std::int64_t row_version) {
+  EntryId best = m_context.self;
+  for (const auto& [id, peer] : m_membership.peers()) {
+    if (peer.record.state != EntryState::kServing || !m_membership.IsHeard(id)) continue;
+    const bool is_better =
+        RendezvousScore(home.value(), id.value(), 1.0) > RendezvousScore(home.value(), best.value(), 1.0);
+    if (is_better) best = id;
+  }
+  if (best != m_context.self) return;
+  m_table.Commit({{AdoptKey(home), row_version}, m_membership.IsMember()}, {{AdoptKey(home), m_context.self.value()}},
+                 [this, home](CommitOutcome outcome, std::int64_t /*version*/) {
+                   const bool is_adopted = outcome == CommitOutcome::kCommitted && m_adopted.insert(home).second;
+                   if (is_adopted) LoadJournal(home);
+                 });
+}
+
+void TaskManager::LoadJournal(const EntryId& home) {
+  ReadRequest request;
+  request.prefixes.push_back(JournalPrefix(home));
+  m_table.Read(std::move(request), [this, home](const ReadReply& reply) {
+    if (!reply.available) {
+      m_adopted.erase(home);
+      return;
+    }
+    std::vector<Row> rows = reply.rows;
+    std::sort(rows.begin(), rows.end(), [](const Row& a, const Row& b) { return a.version < b.version; });
+    std::set<TaskId> tasks;
+    for (const Row& row : rows) {
+      const Result<std::vector<JournalRecord>> records = DecodeRecords(row.value);
+      if (!records) continue;
+      m_journal.AddRow(row.key, *records);
+      for (const JournalRecord& record : *records) {
+        ApplyRecord(record);
+        tasks.insert(record.id.task);
+      }
+    }
+    ResumeAdopted(tasks);
+  });
+}
+
+void TaskManager::ApplyRecord(const JournalRecord& record) {
+  HomeTask& task = m_tasks[record.id.task];
+  task.attempt = std::max(task.attempt, record.id.attempt);
+  switch (record.kind) {
+    case RecordKind::kAccepted:
+      task.spec = record.spec;
+      task.accepted_at = m_context.Now();
+      task.phase = TaskPhase::kQueued;
+      return;
+    case RecordKind::kClaimed:
+      task.owner = record.owner;
+      task.upstream = record.upstream;
+      task.domain = record.domain;
+      task.epoch = record.epoch;
+      task.is_claimed = true;
+      task.phase = TaskPhase::kStarted;
+      return;
+    case RecordKind::kReleased:
+      task.checkpoint = record.checkpoint;
+      task.phase = TaskPhase::kQueued;
+      return;
+    case RecordKind::kEnded:
+      task.end = record.end;
+      task.phase = TaskPhase::kEnded;
+      return;
+  }
+}
+
+void TaskManager::ResumeAdopted(const std::set<TaskId>& tasks) {
+  for (const TaskId& id : tasks) {
+    HomeTask& task = m_tasks.at(id);
+    if (task.phase == TaskPhase::kQueued) task.attempt += kAdoptedAttemptGap;
+    if (!task.spec.gang.empty()) m_gangs[task.spec.gang].insert(id);
+  }
+  for (const TaskId& id : tasks) {
+    HomeTask& task = m_tasks.at(id);
+    if (task.phase == TaskPhase::kEnded) {
+      Retain(id);
+    } else if (task.phase == TaskPhase::kStarted) {
+      m_started.insert(id);
+      Probe(task);
+    } else if (task.phase == TaskPhase::kQueued) {
+      // A member of a gang may have been dispatched with another member already.
+      Enqueue(task);
+    }
+  }
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/tasks/task_manager.cc
@@ -0,0 +1,539 @@
+#include "tasks/task_manager.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <chrono>
+#include <utility>
+
+#include "configuration/config_store.h"
+#include "membership/membership.h"
+#include "model/codec.h"
+#include "routing/router.h"
+#include "tasks/idempotency.h"
+
+namespace jaymast {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusUnavailable = 503;
+constexpr Duration kProbeSweep = std::chrono::seconds(1);
+constexpr Duration kFirstProbe = std::chrono::seconds(3);
+
+/// How long a forwarded query may take beyond the time that the caller waits.
+constexpr Duration kForwardMargin = std::chrono::seconds(2);
+
+int StatusOf(const Error& error) {
+  switch (error.id) {
+    case ErrorId::kTaskUnknown:
+      return kStatusNotFound;
+    case ErrorId::kIdempotencyMismatch:
+      return kStatusConflict;
+    default:
+      return kStatusUnavailable;
+  }
+}
+
+Response ErrorResponse(const Error& error, Verdict verdict) {
+  Response response;
+  response.status = StatusOf(error);
+  response.verdict = verdict;
+  response.error = error;
+  return response;
+}
+
+Verdict VerdictOf(const HomeTask& task) {
+  if (task.phase == TaskPhase::kEnded) return task.end.verdict;
+  return task.is_claimed ? Verdict::kMayHaveRun : Verdict::kNotRun;
+}
+
+/// Home entry of a task, which is the part of its id before the last dash.
+EntryId HomeOf(const TaskId& task) {
+  const std::size_t dash = task.value().rfind('-');
+  return EntryId(dash == std::string::npos ? std::string() : task.value().substr(0, dash));
+}
+
+}  // namespace
+
+TaskManager::TaskManager(Context& context, TableClient& table, const ConfigStore& config, const Membership& membership,
+                         Router& router, Hooks hooks)
+    : m_context(context),
+      m_table(table),
+      m_config(config),
+      m_membership(membership),
+      m_router(router),
+      m_hooks(std::move(hooks)),
+      m_journal(context, table, membership) {}
+
+void TaskManager::Start() {
+  m_journal.Start();
+  ProbeStarted();
+}
+
+TaskId TaskManager::NewTaskId() { return TaskId(fmt::format("{}-{}", m_context.self.value(), m_next_task++)); }
+
+std::optional<Error> TaskManager::CheckAdmission(std::size_t count) const {
+  if (m_draining) return Error{ErrorId::kNotServing, "", "this entry is shutting down"};
+  if (!m_membership.IsLeaseValid()) {
+    return Error{ErrorId::kStoreUnavailable, "", "durable work cannot be recorded while the store is unreachable"};
+  }
+  const auto limit = static_cast<std::size_t>(m_context.settings.max_queued_tasks);
+  if (m_queue.size() + count > limit) return Error{ErrorId::kQueueFull, "", "too many tasks wait at this entry"};
+  return std::nullopt;
+}
+
+void TaskManager::Submit(RequestId request, std::vector<TaskSpec> specs, Time wait_until) {
+  if (const std::optional<Error> error = CheckAdmission(specs.size())) {
+    return m_context.effects.Reply(request, ErrorResponse(*error, Verdict::kNotRun));
+  }
+  const std::uint64_t call = m_next_call++;
+  Submission& submission = m_submissions[call];
+  submission.request = request;
+  submission.wait_until = wait_until;
+  submission.open_accepts = specs.size();
+  GangId gang;
+  for (TaskSpec& spec : specs) {
+    spec.id = NewTaskId();
+    if (spec.work_class == WorkClass::kGang) {
+      if (gang.empty()) gang = GangId(fmt::format("{}-g{}", m_context.self.value(), m_next_gang++));
+      spec.gang = gang;
+      spec.gang_size = static_cast<std::int64_t>(specs.size());
+    }
+    submission.tasks.push_back(spec.id);
+  }
+  m_context.timers.At(wait_until, [this, call] { AnswerSubmission(call, true); });
+  for (TaskSpec& spec : specs) Accept(std::move(spec), call);
+}
+
+void TaskManager::SubmitForPlan(const PlanId& plan, std::vector<TaskSpec> specs, std::function<void(bool)> done) {
+  if (CheckAdmission(specs.size())) return done(false);
+  std::int64_t index = 0;
+  for (TaskSpec& spec : specs) spec.idempotency_key = fmt::format("plan/{}/{}", plan.value(), index++);
+  m_plan_submissions[m_next_call] = std::move(done);
+  Submit(0, std::move(specs), m_context.Now() + kForwardMargin);
+}
+
+void TaskManager::Accept(TaskSpec spec, std::uint64_t submission) {
+  const TaskId id = spec.id;
+  std::optional<Write> insert;
+  if (!spec.idempotency_key.empty()) {
+    const std::string key = IdempotencyRowKey(spec);
+    const boost::json::object value = {{"task", id.value()}, {"digest", RequestDigest(spec)}};
+    insert = Write{key, boost::json::serialize(value)};
+    m_idempotent.try_emplace(key, id);
+  }
+  HomeTask& task = m_tasks[id];
+  task.spec = std::move(spec);
+  task.accepted_at = m_context.Now();
+  m_submissions_of[id].insert(submission);
+  JournalRecord record;
+  record.kind = RecordKind::kAccepted;
+  record.id.task = id;
+  record.spec = task.spec;
+  const bool is_repeated = insert && m_idempotent.at(insert->key) != id;
+  if (is_repeated) return ResolveDuplicate(id, submission);
+  m_journal.Append(std::move(record), std::move(insert),
+                   [this, id, submission](CommitOutcome outcome) { OnAccepted(id, submission, outcome); });
+}
+
+void TaskManager::OnAccepted(const TaskId& id, std::uint64_t submission, CommitOutcome outcome) {
+  if (outcome == CommitOutcome::kConflict) return ResolveDuplicate(id, submission);
+  const auto found = m_tasks.find(id);
+  const auto open = m_submissions.find(submission);
+  if (outcome == CommitOutcome::kUnavailable) {
+    if (!found->second.spec.idempotency_key.empty()) m_idempotent.erase(IdempotencyRowKey(found->second.spec));
+    m_tasks.erase(found);
+    m_submissions_of.erase(id);
+    if (open == m_submissions.end()) return;
+    open->second.refused[id] = Error{ErrorId::kStoreUnavailable, "", "the acceptance could not be recorded"};
+    return CloseAccept(submission);
+  }
+  HomeTask& task = found->second;
+  EmitTask(EventKind::kTaskAccepted, task, std::string(ToString(task.spec.semantics)));
+  if (!task.spec.gang.empty()) m_gangs[task.spec.gang].insert(id);
+  Enqueue(task);
+  CloseAccept(submission);
+}
+
+void TaskManager::ResolveDuplicate(const TaskId& id, std::uint64_t submission) {
+  const TaskSpec spec = m_tasks.at(id).spec;
+  m_tasks.erase(id);
+  m_submissions_of.erase(id);
+  const std::string key = IdempotencyRowKey(spec);
+  ReadRequest request;
+  request.keys.push_back(key);
+  m_table.Read(std::move(request), [this, id, key, submission, spec](const ReadReply& reply) {
+    const auto open = m_submissions.find(submission);
+    if (open == m_submissions.end()) return;
+    if (reply.available && !reply.rows.empty()) {
+      return OnDuplicate(submission, id, RequestDigest(spec), reply.rows.front());
+    }
+    // The first request with this key is being recorded, or the store went away. This one wrote nothing.
+    open->second.refused[id] = Error{ErrorId::kStoreUnavailable, "Idempotency-Key", "the key could not be checked"};
+    CloseAccept(submission);
+  });
+}
+
+void TaskManager::OnDuplicate(std::uint64_t submission, const TaskId& refused, const std::string& digest,
+                              const Row& row) {
+  Submission& open = m_submissions.at(submission);
+  const Result<boost::json::object> value = ParseObject(row.value, "idem");
+  const boost::json::value* task = value ? value->if_contains("task") : nullptr;
+  const boost::json::value* known_digest = value ? value->if_contains("digest") : nullptr;
+  const bool is_same = task != nullptr && task->is_string() && known_digest != nullptr && known_digest->is_string() &&
+                       std::string_view(known_digest->get_string()) == digest;
+  if (!is_same) {
+    open.refused[refused] =
+        Error{ErrorId::kIdempotencyMismatch, "Idempotency-Key", "the key was used for another request"};
+    return CloseAccept(submission);
+  }
+  const TaskId first{std::string_view(task->get_string())};
+  std::replace(open.tasks.begin(), open.tasks.end(), refused, first);
+  if (m_tasks.contains(first)) {
+    m_submissions_of[first].insert(submission);
+    return CloseAccept(submission);
+  }
+  if (open.tasks.size() > 1 || open.request == 0) return CloseAccept(submission);
+  // A single task that another entry accepted: its home answers the caller.
+  const RequestId request = open.request;
+  const Time wait_until = open.wait_until;
+  m_submissions.erase(submission);
+  const std::uint64_t call = m_next_call++;
+  m_forwarded[call] = Forwarded{request, first, TeamId(), false, wait_until};
+  FindHome(first, call);
+}
+
+void TaskManager::CloseAccept(std::uint64_t submission) {
+  const auto open = m_submissions.find(submission);
+  if (open == m_submissions.end()) return;
+  --open->second.open_accepts;
+  CheckSubmission(submission);
+}
+
+void TaskManager::CheckSubmission(std::uint64_t submission) {
+  const auto open = m_submissions.find(submission);
+  if (open == m_submissions.end() || open->second.open_accepts > 0) return;
+  if (!open->second.refused.empty()) CancelIncompleteGang(open->second);
+  const auto plan = m_plan_submissions.find(submission);
+  if (plan != m_plan_submissions.end()) {
+    const bool is_complete = open->second.refused.empty();
+    const std::function<void(bool)> done = std::move(plan->second);
+    m_plan_submissions.erase(plan);
+    m_submissions.erase(open);
+    return done(is_complete);
+  }
+  const bool is_waiting = std::any_of(open->second.tasks.begin(), open->second.tasks.end(), [this](const TaskId& id) {
+    const auto task = m_tasks.find(id);
+    return task != m_tasks.end() && task->second.phase != TaskPhase::kEnded;
+  });
+  if (!is_waiting || m_draining || m_context.Now() >= open->second.wait_until) AnswerSubmission(submission, false);
+}
+
+void TaskManager::CancelIncompleteGang(const Submission& submission) {
+  for (const TaskId& id : submission.tasks) {
+    const auto task = m_tasks.find(id);
+    if (task != m_tasks.end() && !task->second.spec.gang.empty()) Cancel(task->second);
+  }
+}
+
+void TaskManager::CheckSubmissionsOf(const TaskId& task) {
+  const auto found = m_submissions_of.find(task);
+  if (found == m_submissions_of.end()) return;
+  const std::set<std::uint64_t> submissions = found->second;
+  for (const std::uint64_t submission : submissions) CheckSubmission(submission);
+}
+
+void TaskManager::AnswerSubmission(std::uint64_t call, bool is_timeout) {
+  const auto open = m_submissions.find(call);
+  if (open == m_submissions.end()) return;
+  if (is_timeout && open->second.open_accepts > 0) {
+    const auto plan = m_plan_submissions.find(call);
+    if (plan != m_plan_submissions.end()) return;
+    // The caller's wait ends before the store has answered. The tasks may still be accepted.
+    Submission submission = std::move(open->second);
+    m_submissions.erase(open);
+    Response response = ErrorResponse(
+        Error{ErrorId::kOutcomeUnknown, "", "the acceptance is not confirmed yet; repeat with the same key"},
+        Verdict::kMayHaveRun);
+    return m_context.effects.Reply(submission.request, response);
+  }
+  const Submission submission = std::move(open->second);
+  m_submissions.erase(open);
+  for (const TaskId& id : submission.tasks) {
+    const auto others = m_submissions_of.find(id);
+    if (others != m_submissions_of.end() && others->second.erase(call) > 0 && others->second.empty()) {
+      m_submissions_of.erase(others);
+    }
+  }
+  if (submission.refused.size() == submission.tasks.size()) {
+    return m_context.effects.Reply(submission.request,
+                                   ErrorResponse(submission.refused.begin()->second, Verdict::kNotRun));
+  }
+  Response response;
+  response.status = kStatusOk;
+  response.verdict = Verdict::kRan;
+  std::string items;
+  for (const TaskId& id : submission.tasks) {
+    const auto task = m_tasks.find(id);
+    if (!items.empty()) items += ",";
+    if (task == m_tasks.end()) {
+      const auto refused = submission.refused.find(id);
+      const Error error = refused == submission.refused.end() ? Error{} : refused->second;
+      const boost::json::object item = {{"id", id.value()},
+                                        {"state", refused == submission.refused.end() ? "accepted" : "refused"},
+                                        {"verdict", ToString(Verdict::kNotRun)},
+                                        {"error", ToString(error.id)},
+                                        {"reason", error.reason}};
+      items += boost::json::serialize(item);
+      continue;
+    }
+    items += DescribeTask(task->second);
+    if (task->second.phase != TaskPhase::kEnded) response.status = kStatusAccepted;
+    response.verdict = std::min(response.verdict, VerdictOf(task->second));
+  }
+  response.body = fmt::format("{{\"tasks\":[{}]}}", items);
+  m_context.effects.Reply(submission.request, response);
+}
+
+std::string TaskManager::DescribeTask(const HomeTask& task) const {
+  const bool has_ended = task.phase == TaskPhase::kEnded;
+  const bool has_output = has_ended && task.end.state == EndState::kSucceeded;
+  const boost::json::object object = {{"id", task.spec.id.value()},
+                                      {"team", task.spec.team.value()},
+                                      {"kind", task.spec.kind},
+                                      {"class", ToString(task.spec.work_class)},
+                                      {"semantics", ToString(task.spec.semantics)},
+                                      {"state", has_ended ? ToString(task.end.state) : ToString(task.phase)},
+                                      {"attempt", task.attempt},
+                                      {"upstream", task.upstream.value()},
+                                      {"verdict", ToString(VerdictOf(task))},
+                                      {"error", ToString(has_ended ? task.end.error : ErrorId::kNone)},
+                                      {"reason", has_ended && !has_output ? task.end.output : task.wait_reason},
+                                      {"output", has_output ? task.end.output : std::string()}};
+  return boost::json::serialize(object);
+}
+
+void TaskManager::Query(RequestId request, const TeamId& team, const TaskId& id, bool cancel, Time wait_until) {
+  const auto found = m_tasks.find(id);
+  if (found == m_tasks.end()) {
+    const std::uint64_t call = m_next_call++;
+    m_forwarded[call] = Forwarded{request, id, team, cancel, wait_until};
+    return FindHome(id, call);
+  }
+  HomeTask& task = found->second;
+  if (!team.empty() && task.spec.team != team) {
+    return m_context.effects.Reply(
+        request, ErrorResponse(Error{ErrorId::kTaskUnknown, id.value(), "no such task"}, Verdict::kNotRun));
+  }
+  if (cancel) Cancel(task);
+  AddWaiter(Waiter{request, EntryId(), 0, id}, wait_until);
+}
+
+void TaskManager::FindHome(const TaskId& task, std::uint64_t call) {
+  const EntryId home = HomeOf(task);
+  if (m_membership.HasRecord(home) && home != m_context.self) return QueryHome(home, call);
+  ReadRequest request;
+  request.keys.push_back(AdoptKey(home));
+  m_table.Read(std::move(request), [this, call](const ReadReply& reply) {
+    if (!reply.available) {
+      return AnswerForwarded(call, kStatusUnavailable,
+                             Error{ErrorId::kStoreUnavailable, "", "the home entry of the task cannot be found"});
+    }
+    if (reply.rows.empty()) {
+      return AnswerForwarded(call, kStatusNotFound, Error{ErrorId::kTaskUnknown, "", "no such task"});
+    }
+    const EntryId adopter(reply.rows.front().value);
+    if (!m_membership.HasRecord(adopter)) {
+      return AnswerForwarded(call, kStatusUnavailable,
+                             Error{ErrorId::kNotServing, "", "the task is being taken over; try again"});
+    }
+    QueryHome(adopter, call);
+  });
+}
+
+void TaskManager::QueryHome(const EntryId& home, std::uint64_t call) {
+  const auto found = m_forwarded.find(call);
+  if (found == m_forwarded.end()) return;
+  const Forwarded& query = found->second;
+  if (home == m_context.self) {
+    const Forwarded local = query;
+    m_forwarded.erase(found);
+    if (m_tasks.contains(local.task)) {
+      return Query(local.request, local.team, local.task, local.cancel, local.wait_until);
+    }
+    return m_context.effects.Reply(
+        local.request,
+        ErrorResponse(Error{ErrorId::kTaskUnknown, local.task.value(), "no such task"}, Verdict::kNotRun));
+  }
+  const Duration wait = std::max(query.wait_until - m_context.Now(), Duration{0});
+  m_hooks.send(home, TaskQuery{call, query.task, query.team, query.cancel, ToMillis(wait)});
+  m_context.After(wait + kForwardMargin, [this, call] {
+    AnswerForwarded(call, kStatusUnavailable, Error{ErrorId::kNotServing, "", "the home entry did not answer"});
+  });
+}
+
+void TaskManager::AnswerForwarded(std::uint64_t call, int status, const Error& error) {
+  const auto found = m_forwarded.find(call);
+  if (found == m_forwarded.end()) return;
+  const RequestId request = found->second.request;
+  m_forwarded.erase(found);
+  Response response;
+  response.status = status;
+  response.verdict = status == kStatusNotFound ? Verdict::kNotRun : Verdict::kMayHaveRun;
+  response.error = error;
+  m_context.effects.Reply(request, response);
+}
+
+void TaskManager::OnQuery(const EntryId& from, const TaskQuery& query) {
+  const auto found = m_tasks.find(query.task);
+  const bool is_visible = found != m_tasks.end() && (query.team.empty() || found->second.spec.team == query.team);
+  if (!is_visible) {
+    TaskQueryReply reply;
+    reply.call = query.call;
+    reply.status = kStatusNotFound;
+    reply.error = ErrorId::kTaskUnknown;
+    reply.body = "no such task";
+    return m_hooks.send(from, reply);
+  }
+  if (query.cancel) Cancel(found->second);
+  AddWaiter(Waiter{0, from, query.call, query.task}, m_context.Now() + std::chrono::milliseconds(query.wait_ms));
+}
+
+void TaskManager::OnQueryReply(const TaskQueryReply& reply) {
+  if (reply.error != ErrorId::kNone) {
+    return AnswerForwarded(reply.call, static_cast<int>(reply.status), Error{reply.error, "", reply.body});
+  }
+  const auto found = m_forwarded.find(reply.call);
+  if (found == m_forwarded.end()) return;
+  const RequestId request = found->second.request;
+  m_forwarded.erase(found);
+  Response response;
+  response.status = static_cast<int>(reply.status);
+  response.verdict = reply.verdict;
+  response.body = reply.body;
+  m_context.effects.Reply(request, response);
+}
+
+void TaskManager::AddWaiter(Waiter waiter, Time wait_until) {
+  const HomeTask& task = m_tasks.at(waiter.task);
+  const bool is_due = task.phase == TaskPhase::kEnded || m_draining || m_context.Now() >= wait_until;
+  if (is_due) return AnswerWaiter(waiter);
+  const auto item = m_waiters.emplace(waiter.task, waiter);
+  m_context.timers.At(wait_until, [this, waiter = item->second] {
+    const auto range = m_waiters.equal_range(waiter.task);
+    for (auto found = range.first; found != range.second; ++found) {
+      const Waiter& other = found->second;
+      const bool is_same = other.request == waiter.request && other.peer == waiter.peer && other.call == waiter.call;
+      if (!is_same) continue;
+      m_waiters.erase(found);
+      return AnswerWaiter(waiter);
+    }
+  });
+}
+
+void TaskManager::AnswerWaiters(const TaskId& task) {
+  const auto range = m_waiters.equal_range(task);
+  std::vector<Waiter> waiters;
+  for (auto found = range.first; found != range.second; ++found) waiters.push_back(found->second);
+  m_waiters.erase(range.first, range.second);
+  for (const Waiter& waiter : waiters) AnswerWaiter(waiter);
+}
+
+void TaskManager::AnswerWaiter(const Waiter& waiter) {
+  const auto task = m_tasks.find(waiter.task);
+  if (task == m_tasks.end()) return;
+  const bool has_ended = task->second.phase == TaskPhase::kEnded;
+  const int status = has_ended ? kStatusOk : kStatusAccepted;
+  const Verdict verdict = VerdictOf(task->second);
+  if (!waiter.peer.empty()) {
+    TaskQueryReply reply;
+    reply.call = waiter.call;
+    reply.status = status;
+    reply.verdict = verdict;
+    reply.body = DescribeTask(task->second);
+    return m_hooks.send(waiter.peer, reply);
+  }
+  Response response;
+  response.status = status;
+  response.verdict = verdict;
+  response.body = DescribeTask(task->second);
+  m_context.effects.Reply(waiter.request, response);
+}
+
+void TaskManager::OnRequestGone(RequestId request) {
+  std::erase_if(m_waiters,
+                [request](const auto& item) { return item.second.peer.empty() && item.second.request == request; });
+  std::erase_if(m_forwarded, [request](const auto& item) { return item.second.request == request; });
+}
+
+void TaskManager::Drain() {
+  m_draining = true;
+  std::vector<TaskId> waited;
+  for (const auto& [task, waiter] : m_waiters) waited.push_back(task);
+  for (const TaskId& task : waited) AnswerWaiters(task);
+  std::vector<std::uint64_t> open;
+  for (const auto& [call, submission] : m_submissions) open.push_back(call);
+  for (const std::uint64_t call : open) CheckSubmission(call);
+}
+
+bool TaskManager::IsQuiet() const {
+  return m_journal.IsIdle() && m_open_holds == 0 && m_submissions.empty() && m_forwarded.empty();
+}
+
+void TaskManager::AbandonAll() {
+  const Error error{ErrorId::kNotServing, "", "this entry lost its lease; ask again with the task id or the same key"};
+  const Response response = ErrorResponse(error, Verdict::kMayHaveRun);
+  for (const auto& [call, submission] : m_submissions) {
+    if (submission.request != 0) m_context.effects.Reply(submission.request, response);
+  }
+  for (const auto& [task, waiter] : m_waiters) {
+    if (waiter.peer.empty()) m_context.effects.Reply(waiter.request, response);
+  }
+  for (const auto& [call, query] : m_forwarded) m_context.effects.Reply(query.request, response);
+  m_submissions.clear();
+  m_waiters.clear();
+  m_forwarded.clear();
+}
+
+HomeTask* TaskManager::Find(const AttemptId& id) {
+  const auto found = m_tasks.find(id.task);
+  if (found == m_tasks.end() || found->second.attempt != id.attempt) return nullptr;
+  return &found->second;
+}
+
+void TaskManager::EmitTask(EventKind kind, const HomeTask& task, const std::string& detail) {
+  Event event;
+  event.kind = kind;
+  event.task = task.spec.id;
+  event.attempt = task.attempt;
+  event.team = task.spec.team;
+  event.upstream = task.upstream;
+  event.epoch = task.epoch;
+  event.detail = detail;
+  if (kind == EventKind::kTaskEnded) event.verdict = std::string(ToString(task.end.verdict));
+  m_context.effects.Emit(event);
+}
+
+void TaskManager::ProbeStarted() {
+  const Time now = m_context.Now();
+  for (const TaskId& id : m_started) {
+    HomeTask& task = m_tasks.at(id);
+    if (task.phase == TaskPhase::kStarted && now >= task.next_probe) Probe(task);
+  }
+  m_context.After(kProbeSweep, [this] { ProbeStarted(); });
+}
+
+void TaskManager::Probe(HomeTask& task) {
+  task.next_probe = m_context.Now() + kFirstProbe;
+  const AttemptId id{task.spec.id, task.attempt};
+  constexpr std::int64_t kSilentProbesBeforeLookup = 2;
+  const bool is_owner_silent = ++task.silent_probes > kSilentProbesBeforeLookup;
+  if (is_owner_silent || task.owner.empty()) FindOwner(id);
+  if (!task.owner.empty()) m_hooks.send(task.owner, TaskProbe{id, task.upstream, task.epoch});
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/upstream/executor.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "core/context.h"
+#include "core/peer_message.h"
+#include "ownership/ownership.h"
+#include "placement/admission_queue.h"
+#include "placement/estimator.h"
+#include "placement/fair_share.h"
+#include "placement/placer.h"
+#include "upstream/owned_task.h"
+#include "upstream/owned_upstream.h"
+
+namespace jaymast {
+
+class Allotments;
+class ConfigStore;
+class Membership;
+
+/// Owner role: places, starts and watches tasks on the upstreams that this entry owns.
+class Executor {
+ public:
+  using RunDone = std::function<void(const RunReply&)>;
+
+  struct Hooks {
+    std::function<void(const EntryId&, const PeerMessage&)> send;  ///< to a peer or to this entry
+    std::function<void(const UpstreamId&, const OwnerToken&)> on_refused;
+    std::function<void(const UpstreamId&)> on_unreachable;  ///< no answer for longer than a task lease
+  };
+
+  Executor(Context& context, const ConfigStore& config, const Membership& membership, Allotments& allotments,
+           Hooks hooks);
+
+  void Start();
+
+  /// Places and runs a task that needs no claim; `done` runs once.
+  void Run(const RunRequest& request, const EntryId& from, RunDone done);
+
+  void OnHoldRequest(const EntryId& from, const HoldRequest& request);
+  void OnReleaseHold(const ReleaseHold& release);
+  void OnStartOrder(const EntryId& from, const StartOrder& order);
+  void OnProbe(const EntryId& from, const TaskProbe& probe);
+  void OnStopOrder(const StopOrder& order);
+  void OnResultAck(const TaskResultAck& ack);
+
+  void OnAcquired(const Acquisition& acquisition);
+  void OnLost(const UpstreamId& id);
+  void OnCommitted(const UpstreamId& id);
+  void OnLapsed(const UpstreamId& id);
+  void PrepareCover(const UpstreamId& id, const EntryId& from, const std::function<void(CoverChange)>& done);
+
+  void OnInstances(const InstanceList& list);
+
+  /// Takes in a new configuration: teams, policies, failure domains and upstreams out.
+  void OnConfig();
+
+  /// Offers free capacity to the waiting tasks.
+  void Dispatch();
+
+  /// Refuses all tasks that wait for capacity, for a planned stop.
+  void RefuseAllWaiting();
+
+  /// Previews whose answer is open at a runner.
+  std::size_t OpenRuns() const { return m_open_runs; }
+
+  /// Tasks that use capacity now, without held ones.
+  std::size_t RunningCount() const;
+
+  Summary MakeSummary() const;
+  const std::map<UpstreamId, OwnedUpstream>& upstreams() const { return m_upstreams; }
+  const std::map<AttemptId, OwnedTask>& tasks() const { return m_tasks; }
+  const Placer& placer() const { return m_placer; }
+  const FairShare& fair_share() const { return m_fair_share; }
+  const Estimator& estimator() const { return m_estimator; }
+  std::size_t waiting() const { return m_queue.size(); }
+
+ private:
+  struct WaitingRun {
+    RunRequest request;
+    EntryId from;
+    Time deadline;
+    RunDone done;
+  };
+
+  // Placing and starting.
+  bool Place(const WaitingTask& waiting);
+  bool IsEligible(const OwnedUpstream& upstream) const;
+  bool IsOut(const UpstreamInfo& info) const;
+  void UpdateEligibility();
+  void UpdateEligibility(const UpstreamId& id);
+  OwnedTask& Hold(const WaitingTask& waiting, const UpstreamId& upstream);
+  void StartRun(const AttemptId& id, WaitingRun run);
+  void OnRunAnswered(const AttemptId& id, const WaitingRun& run, const UpstreamReply& reply);
+  void CallStart(const AttemptId& id, OwnedTask& task, const StartOrder& order);
+  void OnStartAnswered(const AttemptId& id, const EntryId& home, const UpstreamReply& reply);
+  void RefuseWaiting(const WaitingTask& waiting);
+  void ExpireWaiting();
+  void ExpireHolds();
+  void SetPhase(OwnedTask& task, OwnedPhase phase);
+  std::int64_t RunnerNow(const OwnedUpstream& upstream) const;
+  void EmitStart(EventKind kind, const AttemptId& id, const OwnedTask& task, const std::string& verdict);
+
+  // Reports and results.
+  void RenewAll();
+  void Renew(const UpstreamId& id, OwnedUpstream& upstream);
+  RenewRequest MakeRenewRequest(const OwnedUpstream& upstream) const;
+  void OnRenewed(const UpstreamId& id, std::int64_t epoch, Time sent_at, const RenewRequest& request,
+                 const UpstreamReply& reply);
+  void OnRenewFailed(const UpstreamId& id, OwnedUpstream& upstream);
+  void ApplyReport(const UpstreamId& id, OwnedUpstream& upstream, Time sent_at, const UpstreamReply& reply);
+  void ApplyRunnerTask(const UpstreamId& id, OwnedUpstream& upstream, const RunnerTask& report);
+  void AddReported(const UpstreamId& id, OwnedUpstream& upstream, const RunnerTask& report);
+  void ResolveMissing(const AttemptId& id, OwnedTask& task, Time sent_at, std::int64_t runner_now_ms);
+  void End(const AttemptId& id, Outcome outcome, const std::string& output, std::int64_t run_ms, bool is_from_runner);
+  void FreeCapacity(const OwnedTask& task);
+  void Erase(const AttemptId& id);
+  void SendResult(OwnedTask& task);
+  void ResendResults();
+  void RequestStop(const AttemptId& id, OwnedTask& task, StopMode mode);
+  void CallStop(const AttemptId& id, const OwnedTask& task);
+  void EvacuateOut();
+  void RecordHealth(const UpstreamId& id, bool success);
+
+  Context& m_context;
+  const ConfigStore& m_config;
+  const Membership& m_membership;
+  Allotments& m_allotments;
+  Hooks m_hooks;
+  Placer m_placer;
+  FairShare m_fair_share;
+  Estimator m_estimator;
+  AdmissionQueue m_queue;
+  std::map<UpstreamId, OwnedUpstream> m_upstreams;
+  std::map<AttemptId, OwnedTask> m_tasks;
+  std::map<AttemptId, WaitingRun> m_waiting_runs;
+  /// Attempts that were started on an upstream which this entry lost, until when they are remembered. A repeated start
+  /// order must not be answered as not started.
+  std::map<AttemptId, Time> m_lost_attempts;
+  std::size_t m_open_runs = 0;
+  bool m_dispatching = false;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/upstream/owned_upstream.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "core/upstream_protocol.h"
+#include "model/upstream_info.h"
+#include "upstream/upstream_health.h"
+
+namespace jaymast {
+
+/// An upstream that this entry owns.
+struct OwnedUpstream {
+  UpstreamInfo info;
+  std::int64_t epoch = 0;
+  std::int64_t reset_epoch = 0;
+  bool is_committed = false;  ///< the owner row names this entry
+  bool is_reachable = true;
+  bool is_renewing = false;
+  std::int64_t runner_now_ms = 0;  ///< the runner's clock in its last answer
+  Time answered_at;                ///< when that answer arrived
+  UpstreamHealth health;
+  std::set<AttemptId> tasks;
+  std::set<AttemptId> acknowledged;          ///< results that the runner may drop
+  std::map<TeamId, std::int64_t> inherited;  ///< running tasks found at the fence, per team
+};
+
+}  // namespace jaymast
