--- a/src/core/upstream_protocol.h
+++ b/src/core/upstream_protocol.h
@@ -21,7 +21,7 @@
   std::int64_t attempt = 0;
 
   friend bool operator==(const AttemptId&, const AttemptId&) = default;
-  friend auto operator<=>(const AttemptId&, const AttemptId&) = default;
+  friend auto operator<=>(const AttemptId&, const AttemptId&) = default;  // NOLINT(modernize-use-nullptr): false alarm
 };
 
 /// Sender of a request to a runner. The epoch is the fencing token of the upstream's owner.
