--- /dev/null
+++ b/src/base/url.cc
@@ -0,0 +1,2 @@
+// The single translation unit that compiles Boost.URL.
+#include <boost/url/src.hpp>
