--- a/src/model/wire_codec_test.cc
+++ b/src/model/wire_codec_test.cc
@@ -40,8 +40,9 @@
 template <typename T, typename Make>
 std::vector<T> Some(const Make& make) {
   std::vector<T> items;
-  const int count = *rc::gen::inRange(0, 4);
-  for (int i = 0; i < count; ++i) items.push_back(make());
+  const auto count = *rc::gen::inRange<std::size_t>(0, 4);
+  items.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) items.push_back(make());
   return items;
 }
 
