Add HTTP server, pooled client and blocking client

Other slices and programs need HTTP on loopback. The server runs connections on per-thread io_contexts, answers from any thread, bounds header, body, connections and times, and finishes requests in flight on shutdown. The client tells apart answered, not sent and unknown, and closes a connection whose request missed its deadline, so a late response cannot reach another request.

--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,44 @@
+#include "net/http_client.h"
+
+#include <boost/asio/post.hpp>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include "net/http_client_host.h"
+#include "net/io_pool.h"
+
+namespace jaymast {
+
+struct HttpClient::Shared {
+  Shared(IoPool& io_pool, HttpClientOptions client_options) : pool(io_pool), options(std::move(client_options)) {}
+
+  std::shared_ptr<HttpClientHost> Host(const std::string& address) {
+    const std::lock_guard lock(mutex);
+    std::shared_ptr<HttpClientHost>& host = hosts[address];
+    if (host == nullptr) host = std::make_shared<HttpClientHost>(pool.Context(next++), address, options);
+    return host;
+  }
+
+  IoPool& pool;
+  const HttpClientOptions options;
+  std::mutex mutex;  ///< guards hosts and next
+  std::unordered_map<std::string, std::shared_ptr<HttpClientHost>> hosts;
+  std::size_t next = 0;
+};
+
+HttpClient::HttpClient(IoPool& pool, HttpClientOptions options)
+    : m_shared(std::make_shared<Shared>(pool, std::move(options))) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Send(const std::string& address, HttpRequest request, Deadline deadline, Callback done) {
+  std::shared_ptr<HttpClientHost> host = m_shared->Host(address);
+  boost::asio::io_context& context = host->context();
+  boost::asio::post(context,
+                    [host = std::move(host), request = std::move(request), deadline, done = std::move(done)]() mutable {
+                      host->Send(std::move(request), deadline, std::move(done));
+                    });
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/enum_names.h"
+#include "net/http_message.h"
+
+namespace jaymast {
+
+class IoPool;
+class TlsContext;
+
+/// What became of a request.
+enum class SendStatus {
+  kAnswered,
+  kNotSent,  ///< certainly no byte was sent
+  kUnknown,  ///< may have been received
+};
+
+template <>
+struct EnumNames<SendStatus> {
+  static constexpr std::array<std::string_view, 3> kNames = {"answered", "not_sent", "unknown"};
+};
+
+struct HttpResult {
+  SendStatus status = SendStatus::kUnknown;
+  HttpResponse response;  ///< set when answered
+  std::string reason;     ///< why there is no answer
+};
+
+struct HttpClientOptions {
+  std::size_t max_connections_per_host = 64;
+  std::size_t max_queued_per_host = 4096;  ///< requests that wait for a connection
+  std::size_t max_response_bytes = 64U << 20U;
+  std::chrono::milliseconds idle_timeout{20'000};  ///< shorter than that of the server, so that reuse rarely fails
+  std::shared_ptr<TlsContext> tls;                 ///< plain HTTP when empty
+};
+
+/// Asynchronous HTTP/1.1 client with a pool of connections per address.
+///
+/// A request is never repeated: the caller decides by the status. A connection whose request missed its deadline is
+/// closed, so that a late response cannot be taken for the response to another request.
+class HttpClient {
+ public:
+  using Callback = std::function<void(HttpResult)>;
+  using Deadline = std::chrono::steady_clock::time_point;
+
+  HttpClient(IoPool& pool, HttpClientOptions options);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Sends a request. May be called from any thread.
+  /// @param address IP number and port
+  /// @param deadline the callback is called at this time at the latest
+  /// @param done called once, on a traffic thread
+  void Send(const std::string& address, HttpRequest request, Deadline deadline, Callback done);
+
+ private:
+  struct Shared;
+  std::shared_ptr<Shared> m_shared;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/http_client_connection.cc
@@ -0,0 +1,174 @@
+#include "net/http_client_connection.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream_base.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
+#include <optional>
+#include <type_traits>
+#include <utility>
+
+#include "net/http_client_host.h"
+#include "net/tls_context.h"
+
+namespace jaymast {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::tcp_stream;
+using ErrorCode = boost::beast::error_code;
+using TlsStream = boost::beast::ssl_stream<tcp_stream>;
+
+constexpr std::chrono::seconds kConnectTimeout{3};
+
+http::request<http::string_body> ToMessage(HttpRequest request, const std::string& host) {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, host);
+  for (const auto& [name, value] : request.headers) message.set(name, value);
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse ToResponse(http::response<http::string_body>& message) {
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+template <typename Stream>
+class Connection : public HttpClientConnection, public std::enable_shared_from_this<Connection<Stream>> {
+ public:
+  Connection(std::shared_ptr<HttpClientHost> host, Stream stream, std::shared_ptr<boost::asio::ssl::context> context)
+      : m_host(std::move(host)), m_tls_context(std::move(context)), m_stream(std::move(stream)) {}
+
+  void Connect(const boost::asio::ip::tcp::endpoint& endpoint) override {
+    Lowest().expires_after(kConnectTimeout);
+    Lowest().async_connect(endpoint, [self = Self()](ErrorCode ec) {
+      if (ec) return self->FailConnect(ec);
+      ErrorCode ignored;
+      self->Lowest().socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+      self->Handshake();
+    });
+  }
+
+  void Send(const std::shared_ptr<PendingRequest>& pending) override {
+    pending->connection = this->weak_from_this();
+    m_request = ToMessage(std::move(pending->request), m_host->address());
+    // The timer of the request covers reading and writing.
+    Lowest().expires_never();
+    http::async_write(m_stream, m_request, [self = Self(), pending](ErrorCode ec, std::size_t size) {
+      if (ec) return self->Fail(*pending, ec, size == 0 && !kIsTls);
+      self->Read(pending);
+    });
+  }
+
+  void Close() override {
+    if (m_is_closed) return;
+    m_is_closed = true;
+    Lowest().close();
+    m_host->OnClosed();
+  }
+
+  bool IsStale() override {
+    std::array<char, 1> byte{};
+    const ssize_t size = ::recv(Lowest().socket().native_handle(), byte.data(), byte.size(), MSG_PEEK | MSG_DONTWAIT);
+    // TLS servers may send session tickets at any time, so data is expected there.
+    if (size > 0) return !kIsTls;
+    return size == 0 || errno != EAGAIN;
+  }
+
+  std::chrono::steady_clock::time_point idle_since() const override { return m_idle_since; }
+
+ private:
+  static constexpr bool kIsTls = !std::is_same_v<Stream, tcp_stream>;
+  using Parser = http::response_parser<http::string_body>;
+
+  auto Self() { return this->shared_from_this(); }
+  tcp_stream& Lowest() { return boost::beast::get_lowest_layer(m_stream); }
+
+  void Handshake() {
+    if constexpr (kIsTls) {
+      m_stream.async_handshake(boost::asio::ssl::stream_base::client, [self = Self()](ErrorCode ec) {
+        if (ec) return self->FailConnect(ec);
+        self->FinishConnect();
+      });
+    } else {
+      FinishConnect();
+    }
+  }
+
+  void FinishConnect() {
+    m_idle_since = std::chrono::steady_clock::now();
+    m_host->OnConnected(Self());
+  }
+
+  void FailConnect(ErrorCode ec) {
+    m_host->OnConnectFailed("cannot connect to " + m_host->address() + ": " + ec.message());
+    Close();
+  }
+
+  void Read(const std::shared_ptr<PendingRequest>& pending) {
+    m_parser.emplace();
+    m_parser->body_limit(m_host->options().max_response_bytes);
+    http::async_read(m_stream, m_buffer, *m_parser, [self = Self(), pending](ErrorCode ec, std::size_t) {
+      if (ec) return self->Fail(*pending, ec, false);
+      self->Finish(*pending);
+    });
+  }
+
+  void Finish(PendingRequest& pending) {
+    auto& message = m_parser->get();
+    // Bytes after the response belong to no request of this client, so the connection cannot be trusted any more.
+    const bool is_reusable = message.keep_alive() && m_buffer.size() == 0 && !m_is_closed;
+    HttpResult result{SendStatus::kAnswered, ToResponse(message), ""};
+    if (is_reusable) {
+      BecomeIdle();
+    } else {
+      Close();
+    }
+    m_host->Complete(pending, std::move(result));
+  }
+
+  void Fail(PendingRequest& pending, ErrorCode ec, bool nothing_sent) {
+    const SendStatus status = nothing_sent ? SendStatus::kNotSent : SendStatus::kUnknown;
+    m_host->Complete(pending, HttpResult{status, {}, m_host->address() + ": " + ec.message()});
+    Close();
+  }
+
+  void BecomeIdle() {
+    m_idle_since = std::chrono::steady_clock::now();
+    m_host->OnIdle(Self());
+  }
+
+  const std::shared_ptr<HttpClientHost> m_host;
+  const std::shared_ptr<boost::asio::ssl::context> m_tls_context;
+  Stream m_stream;
+  boost::beast::flat_buffer m_buffer;
+  http::request<http::string_body> m_request;
+  std::optional<Parser> m_parser;
+  std::chrono::steady_clock::time_point m_idle_since;
+  bool m_is_closed = false;
+};
+
+}  // namespace
+
+std::shared_ptr<HttpClientConnection> HttpClientConnection::Make(const std::shared_ptr<HttpClientHost>& host) {
+  tcp_stream stream(host->context());
+  if (host->options().tls == nullptr) return std::make_shared<Connection<tcp_stream>>(host, std::move(stream), nullptr);
+  std::shared_ptr<boost::asio::ssl::context> context = host->options().tls->Current();
+  TlsStream tls_stream(std::move(stream), *context);
+  return std::make_shared<Connection<TlsStream>>(host, std::move(tls_stream), std::move(context));
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/http_client_connection.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace jaymast {
+
+class HttpClientHost;
+struct PendingRequest;
+
+/// One connection of the client. Lives on the thread of its host.
+class HttpClientConnection {
+ public:
+  virtual ~HttpClientConnection() = default;
+
+  virtual void Connect(const boost::asio::ip::tcp::endpoint& endpoint) = 0;
+  virtual void Send(const std::shared_ptr<PendingRequest>& pending) = 0;
+  virtual void Close() = 0;
+
+  /// Whether the server closed the idle connection or sent something that no request asked for.
+  virtual bool IsStale() = 0;
+
+  virtual std::chrono::steady_clock::time_point idle_since() const = 0;
+
+  static std::shared_ptr<HttpClientConnection> Make(const std::shared_ptr<HttpClientHost>& host);
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/http_client_host.cc
@@ -0,0 +1,130 @@
+#include "net/http_client_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/endpoint.h"
+#include "net/http_client_connection.h"
+
+namespace jaymast {
+
+HttpClientHost::HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options)
+    : m_context(context), m_address(std::move(address)), m_options(options), m_sweep_timer(context) {}
+
+void HttpClientHost::Send(HttpRequest request, HttpClient::Deadline deadline, HttpClient::Callback done) {
+  const auto pending = std::make_shared<PendingRequest>(m_context, std::move(request), std::move(done));
+  if (m_waiting.size() >= m_options.max_queued_per_host) {
+    return Complete(*pending, HttpResult{SendStatus::kNotSent, {}, m_address + ": too many requests wait"});
+  }
+  StartTimer(pending, deadline);
+  m_waiting.push_back(pending);
+  Pump();
+}
+
+void HttpClientHost::Complete(PendingRequest& pending, HttpResult result) {
+  if (pending.is_complete) return;
+  pending.is_complete = true;
+  pending.timer.cancel();
+  const HttpClient::Callback done = std::move(pending.done);
+  done(std::move(result));
+}
+
+void HttpClientHost::OnConnected(const std::shared_ptr<HttpClientConnection>& connection) {
+  --m_connecting;
+  OnIdle(connection);
+}
+
+void HttpClientHost::OnIdle(const std::shared_ptr<HttpClientConnection>& connection) {
+  m_idle.push_back(connection);
+  StartSweep();
+  Pump();
+}
+
+void HttpClientHost::OnConnectFailed(const std::string& reason) {
+  --m_connecting;
+  if (m_waiting.empty()) return;
+  const PendingPtr pending = m_waiting.front();
+  m_waiting.pop_front();
+  Complete(*pending, HttpResult{SendStatus::kNotSent, {}, reason});
+}
+
+void HttpClientHost::OnClosed() {
+  --m_open;
+  Pump();
+}
+
+void HttpClientHost::StartTimer(const PendingPtr& pending, HttpClient::Deadline deadline) {
+  pending->timer.expires_at(deadline);
+  pending->timer.async_wait([self = shared_from_this(), pending](boost::system::error_code ec) {
+    if (!ec) self->OnDeadline(pending);
+  });
+}
+
+void HttpClientHost::OnDeadline(const PendingPtr& pending) {
+  if (pending->is_complete) return;
+  const auto waiting = std::find(m_waiting.begin(), m_waiting.end(), pending);
+  if (waiting != m_waiting.end()) {
+    m_waiting.erase(waiting);
+    return Complete(*pending, HttpResult{SendStatus::kNotSent, {}, m_address + ": no connection before the deadline"});
+  }
+  Complete(*pending, HttpResult{SendStatus::kUnknown, {}, m_address + ": no response before the deadline"});
+  if (const auto connection = pending->connection.lock()) connection->Close();
+}
+
+void HttpClientHost::Pump() {
+  while (!m_waiting.empty()) {
+    const std::shared_ptr<HttpClientConnection> connection = TakeIdle();
+    if (connection == nullptr) break;
+    const PendingPtr pending = m_waiting.front();
+    m_waiting.pop_front();
+    connection->Send(pending);
+  }
+  while (m_connecting < m_waiting.size() && m_open < m_options.max_connections_per_host) Connect();
+}
+
+std::shared_ptr<HttpClientConnection> HttpClientHost::TakeIdle() {
+  while (!m_idle.empty()) {
+    std::shared_ptr<HttpClientConnection> connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    if (!connection->IsStale()) return connection;
+    boost::asio::post(m_context, [connection] { connection->Close(); });
+  }
+  return nullptr;
+}
+
+void HttpClientHost::Connect() {
+  const auto endpoint = ParseEndpoint(m_address);
+  if (!endpoint) {
+    const std::deque<PendingPtr> waiting = std::exchange(m_waiting, {});
+    for (const PendingPtr& pending : waiting) {
+      Complete(*pending, HttpResult{SendStatus::kNotSent, {}, m_address + ": " + endpoint.error().reason});
+    }
+    return;
+  }
+  ++m_open;
+  ++m_connecting;
+  HttpClientConnection::Make(shared_from_this())->Connect(*endpoint);
+}
+
+void HttpClientHost::StartSweep() {
+  if (m_is_sweeping) return;
+  m_is_sweeping = true;
+  m_sweep_timer.expires_after(m_options.idle_timeout);
+  m_sweep_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+    const auto self = weak.lock();
+    if (!ec && self) self->Sweep();
+  });
+}
+
+void HttpClientHost::Sweep() {
+  m_is_sweeping = false;
+  const auto oldest = std::chrono::steady_clock::now() - m_options.idle_timeout;
+  const auto keep = std::find_if(m_idle.begin(), m_idle.end(),
+                                 [oldest](const auto& connection) { return connection->idle_since() > oldest; });
+  const std::vector<std::shared_ptr<HttpClientConnection>> expired(m_idle.begin(), keep);
+  m_idle.erase(m_idle.begin(), keep);
+  for (const auto& connection : expired) connection->Close();
+  if (!m_idle.empty()) StartSweep();
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,169 @@
+#include "net/http_server.h"
+
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/error.hpp>
+#include <utility>
+#include <vector>
+
+#include "net/endpoint.h"
+#include "net/http_server_connection.h"
+#include "net/http_server_state.h"
+
+namespace jaymast {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using boost::beast::tcp_stream;
+
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
+/// Keeps the parameters of a connection alive, because a reload replaces them in the server.
+struct TlsStream : boost::beast::ssl_stream<tcp_stream> {
+  TlsStream(tcp_stream stream, std::shared_ptr<boost::asio::ssl::context> parameters)
+      : ssl_stream(std::move(stream), *parameters), context(std::move(parameters)) {}
+  std::shared_ptr<boost::asio::ssl::context> context;
+};
+
+/// Answers with a refusal that says "not run", and closes the connection.
+void RefuseConnection(Tcp::socket socket) {
+  static const std::string kRefusal = [] {
+    const HttpResponse problem =
+        ProblemResponse(503, Error{ErrorId::kQueueFull, "connection", "too many connections"}, Verdict::kNotRun);
+    return "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/problem+json\r\nJaymast-Verdict: not_run\r\n"
+           "Connection: close\r\nContent-Length: " +
+           std::to_string(problem.body.size()) + "\r\n\r\n" + problem.body;
+  }();
+  boost::system::error_code ignored;
+  socket.non_blocking(true, ignored);
+  socket.write_some(boost::asio::buffer(kRefusal), ignored);
+  socket.shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+class Acceptor : public std::enable_shared_from_this<Acceptor> {
+ public:
+  explicit Acceptor(std::shared_ptr<HttpServerState> shared)
+      : m_shared(std::move(shared)), m_pause(m_shared->acceptor.get_executor()) {}
+
+  void Accept() {
+    auto& context = m_shared->pool.Context(m_next++);
+    m_shared->acceptor.async_accept(
+        context, [self = shared_from_this(), &context](boost::system::error_code ec, Tcp::socket socket) {
+          if (!ec) self->Serve(context, std::move(socket));
+          if (self->m_shared->is_shutting_down) return self->Drain();
+          if (ec) return self->AcceptLater();
+          self->Accept();
+        });
+  }
+
+ private:
+  /// Waits before the next attempt, because accept fails at once while the process is out of descriptors.
+  void AcceptLater() {
+    m_pause.expires_after(kAcceptPause);
+    m_pause.async_wait([self = shared_from_this()](boost::system::error_code) {
+      if (self->m_shared->is_shutting_down) return self->Drain();
+      self->Accept();
+    });
+  }
+
+  /// Serves the connections that callers already opened, then stops to listen. Closing at once would reset them.
+  void Drain() {
+    boost::system::error_code ec;
+    m_shared->acceptor.non_blocking(true, ec);
+    while (!ec) {
+      auto& context = m_shared->pool.Context(m_next++);
+      Tcp::socket socket = m_shared->acceptor.accept(context, ec);
+      if (!ec) Serve(context, std::move(socket));
+    }
+    m_shared->acceptor.close(ec);
+  }
+
+  void Serve(boost::asio::io_context& context, Tcp::socket socket) {
+    boost::system::error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    if (IsFull()) {
+      ++m_shared->refused;
+      return RefuseConnection(std::move(socket));
+    }
+    tcp_stream stream(std::move(socket));
+    if (m_shared->options.tls) {
+      Start(context, TlsStream(std::move(stream), m_shared->options.tls->Current()));
+    } else {
+      Start(context, std::move(stream));
+    }
+  }
+
+  bool IsFull() {
+    const std::lock_guard lock(m_shared->mutex);
+    return m_shared->connections.size() >= m_shared->options.max_connections;
+  }
+
+  template <typename Stream>
+  void Start(boost::asio::io_context& context, Stream stream) {
+    auto connection = std::make_shared<HttpServerConnection<Stream>>(m_shared, std::move(stream));
+    m_shared->Add(connection);
+    boost::asio::post(context, [connection] { connection->Run(); });
+  }
+
+  const std::shared_ptr<HttpServerState> m_shared;
+  boost::asio::steady_timer m_pause;
+  std::size_t m_next = 0;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Listen(IoPool& pool, HttpServerOptions options, Handler handler) {
+  const Result<Tcp::endpoint> endpoint = ParseEndpoint(options.address);
+  if (!endpoint) return endpoint.error();
+  const std::string address = options.address;
+  auto shared = std::make_shared<HttpServerState>(pool, std::move(options), std::move(handler));
+  boost::system::error_code ec;
+  Tcp::acceptor& acceptor = shared->acceptor;
+  acceptor.open(endpoint->protocol(), ec);
+  if (!ec) acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor.bind(*endpoint, ec);
+  if (!ec) acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+  if (ec) return Error{ErrorId::kInputField, address, "cannot listen: " + ec.message()};
+  std::make_shared<Acceptor>(shared)->Accept();
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(shared)));
+}
+
+HttpServer::HttpServer(std::shared_ptr<HttpServerState> shared) : m_shared(std::move(shared)) {}
+
+HttpServer::~HttpServer() {
+  BeginShutdown();
+  std::map<HttpConnection*, std::shared_ptr<HttpConnection>> connections;
+  {
+    const std::lock_guard lock(m_shared->mutex);
+    connections.swap(m_shared->connections);
+  }
+  for (const auto& [key, connection] : connections) connection->Abort();
+}
+
+std::string HttpServer::address() const {
+  boost::system::error_code ignored;
+  return FormatEndpoint(m_shared->acceptor.local_endpoint(ignored));
+}
+
+std::size_t HttpServer::open_connections() const {
+  const std::lock_guard lock(m_shared->mutex);
+  return m_shared->connections.size();
+}
+
+std::uint64_t HttpServer::refused_connections() const { return m_shared->refused; }
+
+void HttpServer::BeginShutdown() {
+  if (m_shared->is_shutting_down.exchange(true)) return;
+  boost::asio::post(m_shared->acceptor.get_executor(), [shared = m_shared] {
+    boost::system::error_code ignored;
+    shared->acceptor.cancel(ignored);
+  });
+  const std::lock_guard lock(m_shared->mutex);
+  for (const auto& [key, connection] : m_shared->connections) connection->Finish();
+}
+
+bool HttpServer::WaitForShutdown(std::chrono::milliseconds timeout) {
+  std::unique_lock lock(m_shared->mutex);
+  return m_shared->all_closed.wait_for(lock, timeout, [this] { return m_shared->connections.empty(); });
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "net/http_message.h"
+#include "net/http_responder.h"
+
+namespace jaymast {
+
+class IoPool;
+class TlsContext;
+struct HttpServerState;
+
+struct HttpServerOptions {
+  std::string address = "127.0.0.1:0";  ///< IP number and port; port 0 takes a free port
+  std::size_t max_body_bytes = 4U << 20U;
+  std::size_t max_header_bytes = 16U << 10U;
+  std::size_t max_connections = 4096;
+  std::chrono::milliseconds idle_timeout{60'000};   ///< between two requests of a connection
+  std::chrono::milliseconds header_timeout{5'000};  ///< from the first byte of a request to the end of its header
+  std::chrono::milliseconds body_timeout{10'000};   ///< from the end of the header to the end of the body
+  std::chrono::milliseconds write_timeout{10'000};
+  std::shared_ptr<TlsContext> tls;  ///< plain HTTP when empty
+};
+
+/// HTTP/1.1 server with keep-alive on the traffic threads of a pool.
+class HttpServer {
+ public:
+  /// Called on a traffic thread. The responder may be used later and from any thread.
+  using Handler = std::function<void(HttpRequest, HttpResponder)>;
+
+  /// Listens and starts to accept connections.
+  /// @return the server, or an error with the address when it cannot be used
+  static Result<std::unique_ptr<HttpServer>> Listen(IoPool& pool, HttpServerOptions options, Handler handler);
+
+  /// Stops to accept. Connections that are open stay usable until the pool stops.
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// IP number and port on which the server listens.
+  std::string address() const;
+
+  std::size_t open_connections() const;
+  std::uint64_t refused_connections() const;
+
+  /// Begins a graceful shutdown: accepts no connection, answers requests in flight, then closes each connection.
+  void BeginShutdown();
+
+  /// Waits until all connections are closed.
+  /// @return whether they were closed before the timeout
+  bool WaitForShutdown(std::chrono::milliseconds timeout);
+
+ private:
+  explicit HttpServer(std::shared_ptr<HttpServerState> shared);
+
+  std::shared_ptr<HttpServerState> m_shared;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/http_server_connection.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ssl/stream_base.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
+#include <cerrno>
+#include <memory>
+#include <optional>
+#include <string>
+#include <type_traits>
+#include <utility>
+
+#include "net/http_server_state.h"
+#include "net/problem.h"
+
+namespace jaymast {
+
+/// One connection of a server. All work is done on the thread of its io_context. Stream is a tcp_stream or an
+/// ssl_stream on top of one.
+template <typename Stream>
+class HttpServerConnection : public HttpConnection,
+                             public HttpExchange,
+                             public std::enable_shared_from_this<HttpServerConnection<Stream>> {
+ public:
+  HttpServerConnection(std::shared_ptr<HttpServerState> shared, Stream stream)
+      : m_shared(std::move(shared)),
+        m_stream(std::move(stream)),
+        m_finish_timer(boost::beast::get_lowest_layer(m_stream).get_executor()) {}
+
+  /// Serves requests until the connection is closed. Must run on the thread of the connection.
+  void Run() {
+    if constexpr (kIsTls) {
+      Lowest().expires_after(m_shared->options.header_timeout);
+      m_stream.async_handshake(boost::asio::ssl::stream_base::server, [self = Self()](ErrorCode ec) {
+        if (ec) return self->Close();
+        self->WaitForRequest();
+      });
+    } else {
+      WaitForRequest();
+    }
+  }
+
+  void Abort() override {
+    boost::asio::post(Lowest().get_executor(), [self = Self()] { self->Close(); });
+  }
+
+  void Finish() override {
+    boost::asio::post(Lowest().get_executor(), [self = Self()] { self->CloseWhenIdle(); });
+  }
+
+  void Respond(std::uint64_t sequence, HttpResponse response) override {
+    boost::asio::dispatch(Lowest().get_executor(), [self = Self(), sequence, response = std::move(response)]() mutable {
+      if (!self->m_is_waiting_for_response || self->m_sequence != sequence) return;
+      self->m_is_waiting_for_response = false;
+      self->Send(std::move(response), self->m_parser->get().keep_alive());
+    });
+  }
+
+  void SetOnGone(std::function<void()> on_gone) override { m_on_gone = std::move(on_gone); }
+
+ private:
+  using ErrorCode = boost::beast::error_code;
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  static constexpr bool kIsTls = !std::is_same_v<Stream, boost::beast::tcp_stream>;
+  static constexpr std::size_t kReadChunkBytes = 8192;
+  /// A request that a caller sent before it saw the end of the connection still gets its response within this time.
+  static constexpr std::chrono::milliseconds kFinishGrace{250};
+
+  auto Self() { return this->shared_from_this(); }
+  boost::beast::tcp_stream& Lowest() { return boost::beast::get_lowest_layer(m_stream); }
+
+  void WaitForRequest() {
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_shared->options.max_header_bytes));
+    m_parser->body_limit(m_shared->options.max_body_bytes);
+    if (m_buffer.size() > 0) return ReadHeader();
+    m_is_idle = true;
+    Lowest().expires_after(m_shared->is_shutting_down ? kFinishGrace : m_shared->options.idle_timeout);
+    m_stream.async_read_some(m_buffer.prepare(kReadChunkBytes), [self = Self()](ErrorCode ec, std::size_t size) {
+      self->m_is_idle = false;
+      if (ec) return self->Close();
+      self->m_buffer.commit(size);
+      self->ReadHeader();
+    });
+  }
+
+  void ReadHeader() {
+    Lowest().expires_after(m_shared->options.header_timeout);
+    boost::beast::http::async_read_header(m_stream, m_buffer, *m_parser, [self = Self()](ErrorCode ec, std::size_t) {
+      if (ec) return self->Refuse(ec);
+      self->AcceptBody();
+    });
+  }
+
+  void AcceptBody() {
+    const auto expect = m_parser->get()[boost::beast::http::field::expect];
+    if (!boost::beast::iequals(expect, "100-continue")) return ReadBody();
+    static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    Lowest().expires_after(m_shared->options.write_timeout);
+    boost::asio::async_write(m_stream, boost::asio::buffer(kContinue), [self = Self()](ErrorCode ec, std::size_t) {
+      if (ec) return self->Close();
+      self->ReadBody();
+    });
+  }
+
+  void ReadBody() {
+    if (m_parser->is_done()) return Dispatch();
+    Lowest().expires_after(m_shared->options.body_timeout);
+    boost::beast::http::async_read(m_stream, m_buffer, *m_parser, [self = Self()](ErrorCode ec, std::size_t) {
+      if (ec) return self->Refuse(ec);
+      self->Dispatch();
+    });
+  }
+
+  void Dispatch() {
+    auto& message = m_parser->get();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message) {
+      request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    m_is_waiting_for_response = true;
+    Lowest().expires_never();
+    WatchForClose();
+    m_shared->handler(std::move(request), HttpResponder(this->weak_from_this(), ++m_sequence));
+  }
+
+  /// Detects that the caller closed the connection while its request is in flight.
+  void WatchForClose() {
+    Lowest().socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
+                                 [self = Self(), sequence = m_sequence + 1](ErrorCode ec) {
+                                   if (ec || !self->m_is_waiting_for_response || self->m_sequence != sequence) return;
+                                   if (self->IsClosedByCaller()) self->Close();
+                                 });
+  }
+
+  bool IsClosedByCaller() {
+    std::array<char, 1> byte{};
+    const ssize_t size = ::recv(Lowest().socket().native_handle(), byte.data(), byte.size(), MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+  }
+
+  void Refuse(ErrorCode ec) {
+    namespace http = boost::beast::http;
+    if (ec == http::error::body_limit) return SendProblem(413, ErrorId::kInputTooLarge, "body too large");
+    if (ec == http::error::header_limit) return SendProblem(431, ErrorId::kInputTooLarge, "header too large");
+    const bool is_malformed = ec.category() == http::make_error_code(http::error::bad_method).category();
+    if (is_malformed && ec != http::error::end_of_stream && ec != http::error::partial_message) {
+      return SendProblem(400, ErrorId::kInputSyntax, "malformed HTTP request: " + ec.message());
+    }
+    Close();
+  }
+
+  void SendProblem(int status, ErrorId id, const std::string& reason) {
+    Send(ProblemResponse(status, Error{id, "request", reason}, Verdict::kNotRun), false);
+  }
+
+  void Send(HttpResponse response, bool keep_alive) {
+    m_on_gone = nullptr;
+    ErrorCode ignored;
+    Lowest().socket().cancel(ignored);
+    m_response = {};
+    m_response.result(static_cast<unsigned>(response.status));
+    for (const auto& [name, value] : response.headers) m_response.set(name, value);
+    m_response.body() = std::move(response.body);
+    m_response.keep_alive(keep_alive && !m_shared->is_shutting_down);
+    m_response.prepare_payload();
+    Lowest().expires_after(m_shared->options.write_timeout);
+    boost::beast::http::async_write(m_stream, m_response, [self = Self()](ErrorCode ec, std::size_t) {
+      if (ec || !self->m_response.keep_alive()) return self->Close();
+      self->WaitForRequest();
+    });
+  }
+
+  void CloseWhenIdle() {
+    m_finish_timer.expires_after(kFinishGrace);
+    m_finish_timer.async_wait([self = Self()](ErrorCode ec) {
+      if (!ec && self->m_is_idle) self->Close();
+    });
+  }
+
+  void Close() {
+    if (m_is_closed) return;
+    m_is_closed = true;
+    ErrorCode ignored;
+    Lowest().socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    Lowest().close();
+    m_finish_timer.cancel();
+    const bool was_waiting = std::exchange(m_is_waiting_for_response, false);
+    const auto on_gone = std::exchange(m_on_gone, nullptr);
+    if (was_waiting && on_gone) on_gone();
+    m_shared->Remove(this);
+  }
+
+  const std::shared_ptr<HttpServerState> m_shared;
+  Stream m_stream;
+  boost::asio::steady_timer m_finish_timer;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+  boost::beast::http::response<boost::beast::http::string_body> m_response;
+  std::function<void()> m_on_gone;
+  std::uint64_t m_sequence = 0;
+  bool m_is_waiting_for_response = false;
+  bool m_is_idle = false;
+  bool m_is_closed = false;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/http_test.cc
@@ -0,0 +1,237 @@
+#include <gtest/gtest.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "net/blocking_http_client.h"
+#include "net/endpoint.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/io_pool.h"
+
+namespace jaymast {
+namespace {
+
+using std::chrono::milliseconds;
+using Tcp = boost::asio::ip::tcp;
+
+/// Upper bound of a wait for something that must happen. Tests do not depend on how fast it happens.
+constexpr milliseconds kPatience{20'000};
+
+void Echo(const HttpRequest& request, const HttpResponder& responder) {
+  HttpResponse response;
+  response.headers.emplace_back("Echo-Target", request.method + " " + request.target);
+  response.body = request.body;
+  responder.Respond(std::move(response));
+}
+
+HttpRequest Post(std::string target, std::string body) {
+  return HttpRequest{"POST", std::move(target), {}, std::move(body)};
+}
+
+/// Sends bytes over a new connection and reads until the server closes it.
+std::string RawExchange(const std::string& address, const std::string& bytes) {
+  boost::asio::io_context context;
+  Tcp::socket socket(context);
+  socket.connect(*ParseEndpoint(address));
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  std::string answer;
+  boost::system::error_code ec;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ec);
+  return answer;
+}
+
+class HttpTest : public testing::Test {
+ protected:
+  void Listen(HttpServer::Handler handler, HttpServerOptions options = {}) {
+    auto server = HttpServer::Listen(m_pool, std::move(options), std::move(handler));
+    ASSERT_TRUE(server) << server.error().reason;
+    m_server = std::move(*server);
+  }
+
+  ~HttpTest() override { m_pool.Stop(); }
+
+  IoPool m_pool{2};
+  std::unique_ptr<HttpServer> m_server;
+};
+
+TEST_F(HttpTest, AnswersWithTheWholeBodyOverOneConnection) {
+  Listen(Echo);
+  BlockingHttpClient client;
+  for (const std::size_t size : {0U, 1U, 100'000U, 3'000'000U}) {
+    const std::string body(size, 'x');
+    const HttpResult result = client.Call(m_server->address(), Post("/a?b=c", body), kPatience);
+    ASSERT_EQ(result.status, SendStatus::kAnswered) << result.reason;
+    EXPECT_EQ(result.response.body, body);
+    EXPECT_EQ(FindHeader(result.response.headers, "echo-target"), "POST /a?b=c");
+  }
+  EXPECT_EQ(m_server->open_connections(), 1U);
+}
+
+// Guards against retries of requests that were never sent being treated as possibly run.
+TEST_F(HttpTest, ConnectionRefusedIsNotSent) {
+  boost::asio::io_context context;
+  // The socket reserves a port on which nothing listens.
+  Tcp::acceptor reserved(context, Tcp::v4());
+  reserved.bind(Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  BlockingHttpClient client;
+  const HttpResult result = client.Call(FormatEndpoint(reserved.local_endpoint()), Post("/", "x"), kPatience);
+  EXPECT_EQ(result.status, SendStatus::kNotSent) << result.reason;
+}
+
+TEST_F(HttpTest, ConnectionClosedWithoutAResponseIsUnknown) {
+  boost::asio::io_context context;
+  Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  const std::string address = FormatEndpoint(acceptor.local_endpoint());
+  std::future<void> server = std::async(std::launch::async, [&acceptor] {
+    Tcp::socket socket = acceptor.accept();
+    std::array<char, 64> bytes{};
+    socket.read_some(boost::asio::buffer(bytes));
+  });
+  BlockingHttpClient client;
+  EXPECT_EQ(client.Call(address, Post("/", "x"), kPatience).status, SendStatus::kUnknown);
+  server.get();
+}
+
+// Guards against a late response being delivered to the next request of the same connection.
+TEST_F(HttpTest, LateResponseNeverReachesAnotherRequest) {
+  std::promise<HttpResponder> late;
+  Listen([&late](const HttpRequest& request, const HttpResponder& responder) {
+    if (request.body == "late") return late.set_value(responder);
+    Echo(request, responder);
+  });
+  HttpClientOptions options;
+  options.max_connections_per_host = 1;
+  HttpClient client(m_pool, options);
+  std::promise<HttpResult> first;
+  client.Send(m_server->address(), Post("/", "late"), std::chrono::steady_clock::now() + milliseconds(50),
+              [&first](HttpResult result) { first.set_value(std::move(result)); });
+  EXPECT_EQ(first.get_future().get().status, SendStatus::kUnknown);
+  late.get_future().get().Respond(HttpResponse{200, {}, "late"});
+  std::promise<HttpResult> second;
+  client.Send(m_server->address(), Post("/", "second"), std::chrono::steady_clock::now() + kPatience,
+              [&second](HttpResult result) { second.set_value(std::move(result)); });
+  EXPECT_EQ(second.get_future().get().response.body, "second");
+}
+
+// Guards against responses that complete in another order than their requests, and against double responses.
+TEST_F(HttpTest, CrossedResponsesReachTheirOwnRequests) {
+  constexpr int kRequests = 8;
+  std::mutex mutex;
+  std::vector<std::pair<HttpRequest, HttpResponder>> waiting;
+  Listen([&](const HttpRequest& request, const HttpResponder& responder) {
+    const std::lock_guard lock(mutex);
+    waiting.emplace_back(request, responder);
+    if (waiting.size() < kRequests) return;
+    for (auto it = waiting.rbegin(); it != waiting.rend(); ++it) {
+      Echo(it->first, it->second);
+      it->second.Respond(HttpResponse{200, {}, "second response"});
+    }
+    waiting.clear();
+  });
+  HttpClient client(m_pool, {});
+  for (int round = 0; round < 5; ++round) {
+    std::vector<std::promise<HttpResult>> results(kRequests);
+    for (int i = 0; i < kRequests; ++i) {
+      client.Send(m_server->address(), Post("/", std::to_string(i)), std::chrono::steady_clock::now() + kPatience,
+                  [&results, i](HttpResult result) { results[i].set_value(std::move(result)); });
+    }
+    for (int i = 0; i < kRequests; ++i) EXPECT_EQ(results[i].get_future().get().response.body, std::to_string(i));
+  }
+}
+
+TEST_F(HttpTest, QueuedRequestIsNotSentAtItsDeadline) {
+  Listen([](const HttpRequest&, const HttpResponder&) {});
+  HttpClientOptions options;
+  options.max_connections_per_host = 1;
+  HttpClient client(m_pool, options);
+  std::promise<HttpResult> first;
+  std::promise<HttpResult> second;
+  const auto now = std::chrono::steady_clock::now();
+  client.Send(m_server->address(), Post("/", ""), now + milliseconds(300),
+              [&first](HttpResult result) { first.set_value(std::move(result)); });
+  client.Send(m_server->address(), Post("/", ""), now + milliseconds(100),
+              [&second](HttpResult result) { second.set_value(std::move(result)); });
+  EXPECT_EQ(second.get_future().get().status, SendStatus::kNotSent);
+  EXPECT_EQ(first.get_future().get().status, SendStatus::kUnknown);
+}
+
+TEST_F(HttpTest, SlowHeaderAndSlowBodyAreCut) {
+  HttpServerOptions options;
+  options.header_timeout = milliseconds(50);
+  options.body_timeout = milliseconds(50);
+  Listen(Echo, options);
+  EXPECT_EQ(RawExchange(m_server->address(), "POST / HTTP/1.1\r\nHost: x\r\n"), "");
+  EXPECT_EQ(RawExchange(m_server->address(), "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc"), "");
+}
+
+TEST_F(HttpTest, RefusesOversizedAndMalformedRequestsAsNotRun) {
+  HttpServerOptions options;
+  options.max_body_bytes = 10;
+  options.max_header_bytes = 200;
+  Listen(Echo, options);
+  const std::string big_body = RawExchange(m_server->address(), "POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+  EXPECT_NE(big_body.find("413"), std::string::npos) << big_body;
+  EXPECT_NE(big_body.find("Jaymast-Verdict: not_run"), std::string::npos) << big_body;
+  const std::string big_header =
+      RawExchange(m_server->address(), "GET / HTTP/1.1\r\nA: " + std::string(300, 'a') + "\r\n\r\n");
+  EXPECT_NE(big_header.find("431"), std::string::npos) << big_header;
+  const std::string malformed = RawExchange(m_server->address(), "nonsense\r\n\r\n");
+  EXPECT_NE(malformed.find("400"), std::string::npos) << malformed;
+}
+
+TEST_F(HttpTest, RefusesConnectionsAboveTheLimit) {
+  HttpServerOptions options;
+  options.max_connections = 1;
+  Listen(Echo, options);
+  BlockingHttpClient client;
+  ASSERT_EQ(client.Call(m_server->address(), Post("/", "x"), kPatience).response.status, 200);
+  EXPECT_NE(RawExchange(m_server->address(), "").find("503"), std::string::npos);
+  EXPECT_EQ(m_server->refused_connections(), 1U);
+}
+
+TEST_F(HttpTest, ReportsThatTheCallerIsGone) {
+  std::promise<void> gone;
+  Listen(
+      [&gone](const HttpRequest&, const HttpResponder& responder) { responder.OnGone([&gone] { gone.set_value(); }); });
+  HttpClient client(m_pool, {});
+  client.Send(m_server->address(), Post("/", ""), std::chrono::steady_clock::now() + milliseconds(50),
+              [](const HttpResult&) {});
+  EXPECT_EQ(gone.get_future().wait_for(kPatience), std::future_status::ready);
+}
+
+// Guards G10: a planned stop must not cut a request that was received.
+TEST_F(HttpTest, ShutdownFinishesTheRequestInFlight) {
+  std::promise<HttpResponder> received;
+  Listen([&received](const HttpRequest&, const HttpResponder& responder) { received.set_value(responder); });
+  std::future<HttpResult> result = std::async(std::launch::async, [this] {
+    BlockingHttpClient client;
+    return client.Call(m_server->address(), Post("/", "x"), kPatience);
+  });
+  const HttpResponder responder = received.get_future().get();
+  m_server->BeginShutdown();
+  EXPECT_FALSE(m_server->WaitForShutdown(milliseconds(10)));
+  responder.Respond(HttpResponse{200, {}, "finished"});
+  EXPECT_EQ(result.get().response.body, "finished");
+  EXPECT_TRUE(m_server->WaitForShutdown(kPatience));
+}
+
+TEST_F(HttpTest, PortInUseIsAnErrorWithTheAddress) {
+  Listen(Echo);
+  HttpServerOptions options;
+  options.address = m_server->address();
+  const auto second = HttpServer::Listen(m_pool, options, Echo);
+  ASSERT_FALSE(second);
+  EXPECT_EQ(second.error().path, options.address);
+  EXPECT_NE(second.error().reason.find("cannot listen"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/io_pool.cc
@@ -0,0 +1,34 @@
+#include "net/io_pool.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <thread>
+
+namespace jaymast {
+
+struct IoPool::Worker {
+  // One thread runs the context. Posts from other threads still need its lock, so the hint is 1 and not UNSAFE.
+  boost::asio::io_context context{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
+  std::thread thread;
+};
+
+IoPool::IoPool(std::size_t threads) {
+  for (std::size_t i = 0; i < threads; ++i) m_workers.push_back(std::make_unique<Worker>());
+  for (const auto& worker : m_workers) worker->thread = std::thread([&context = worker->context] { context.run(); });
+}
+
+IoPool::~IoPool() { Stop(); }
+
+std::size_t IoPool::size() const { return m_workers.size(); }
+
+boost::asio::io_context& IoPool::Context(std::size_t index) { return m_workers[index % m_workers.size()]->context; }
+
+void IoPool::Stop() {
+  for (const auto& worker : m_workers) worker->context.stop();
+  for (const auto& worker : m_workers) {
+    if (worker->thread.joinable()) worker->thread.join();
+  }
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/io_pool.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace jaymast {
+
+/// Traffic threads. Each thread runs its own io_context, so that the state of a connection needs no lock.
+class IoPool {
+ public:
+  /// Starts the threads.
+  explicit IoPool(std::size_t threads);
+
+  /// Stops the threads if they still run.
+  ~IoPool();
+  IoPool(const IoPool&) = delete;
+  IoPool& operator=(const IoPool&) = delete;
+
+  std::size_t size() const;
+
+  /// The io_context of the thread with number `index` modulo size().
+  boost::asio::io_context& Context(std::size_t index);
+
+  /// Abandons all work and joins the threads. Handlers that did not run are destroyed with the pool.
+  void Stop();
+
+ private:
+  struct Worker;
+  std::vector<std::unique_ptr<Worker>> m_workers;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/problem.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/verdict.h"
+#include "net/http_message.h"
+
+namespace jaymast {
+
+/// Response of type application/problem+json with the stable id as type, and the header Jaymast-Verdict.
+HttpResponse ProblemResponse(int status, const Error& error, Verdict verdict);
+
+}  // namespace jaymast
