--- /dev/null
+++ b/src/testing/invariants/answers_checker.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "testing/invariants/invariant_checker.h"
+
+namespace jaymast {
+
+/// G6: each caller gets one response, complete and for its own request.
+class AnswersChecker final : public InvariantChecker {
+ public:
+  explicit AnswersChecker(const Facts& facts) : InvariantChecker("G6 answers", facts) {}
+
+ private:
+  static constexpr int kOk = 200;
+
+  void OnEvent(const Event& event) override {
+    if (event.kind == EventKind::kRequestReceived) m_received[event.request] = event;
+    if (event.kind != EventKind::kReplySent) return;
+    if (!m_received.contains(event.request)) Report(event, "a response without a request");
+    if (++m_replies[event.request] > 1) Report(event, "a second response to one request");
+    CheckContent(event);
+  }
+
+  /// A response that carries outputs carries exactly those of its own request.
+  void CheckContent(const Event& event) {
+    const auto caller = facts().callers.find(event.request);
+    if (caller == facts().callers.end() || !caller->second.response) return;
+    const Response& response = *caller->second.response;
+    if (response.raw && response.status == kOk && !IsOwnOutput(caller->second, response.body)) {
+      Report(event, "the response is not the output of the caller's own task");
+    }
+    for (const auto& [id, other] : facts().callers) {
+      if (other.bodies == caller->second.bodies) continue;
+      for (const std::string& mark : other.marks) {
+        if (response.body.find(mark) != std::string::npos) {
+          return Report(event, "the response carries the output of request " + std::to_string(id));
+        }
+      }
+    }
+  }
+
+  void OnEnd() override {
+    for (const auto& [id, event] : m_received) {
+      const auto caller = facts().callers.find(id);
+      const bool closed = caller != facts().callers.end() && caller->second.closed;
+      if (!closed && !m_replies.contains(id)) Report(event, "the request got no response");
+    }
+  }
+
+  /// Whether a text is the whole output of a task that the request asked for.
+  bool IsOwnOutput(const CallerRecord& record, const std::string& text) const {
+    return std::any_of(facts().outputs.begin(), facts().outputs.end(), [&](const auto& output) {
+      const std::string& body = facts().Spec(output.first).body;
+      const bool own = std::find(record.bodies.begin(), record.bodies.end(), body) != record.bodies.end();
+      return own && output.second == text;
+    });
+  }
+
+  std::map<RequestId, Event> m_received;
+  std::map<RequestId, int> m_replies;
+};
+
+}  // namespace jaymast
