--- a/src/testing/invariants/caller_record.h
+++ b/src/testing/invariants/caller_record.h
@@ -18,6 +18,7 @@
   KeyId key;              ///< key that accompanied the request
   TeamId team;            ///< team that the request names
   Time sent;
+  bool asks_for_work = false;       ///< false for a query, a cancellation or a request of an operator
   std::vector<std::string> bodies;  ///< input of each task; requests for different work differ in all of them
   std::vector<std::string> marks;   ///< for each task, a text that only its own output contains
   std::optional<Response> response;
