--- a/src/apps/jaymast_session.cc
+++ b/src/apps/jaymast_session.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "testing/fault_schedule.h"
 #include "testing/session_file.h"
 
 namespace jaymast {
@@ -26,6 +27,21 @@
   return 0;
 }
 
+/// Prints the session text of a fault schedule, so that a failing seed can be played and reduced by hand.
+int PrintSchedule(std::uint64_t seed, int entries, const std::vector<std::string>& names) {
+  std::vector<FaultKind> faults;
+  for (const std::string& name : names) {
+    const std::optional<FaultKind> fault = FromString<FaultKind>(name);
+    if (!fault) {
+      std::cerr << "--fault: unknown fault '" << name << "'\n";
+      return kUnreadable;
+    }
+    faults.push_back(*fault);
+  }
+  std::cout << FaultSchedule(seed, entries, faults).Write();
+  return 0;
+}
+
 }  // namespace
 }  // namespace jaymast
 
@@ -35,10 +51,17 @@
   std::vector<std::string> files;
   bool update = false;
   bool quiet = false;
-  app.add_option("session", files, "Session files")->required()->check(CLI::ExistingFile);
+  app.add_option("session", files, "Session files")->check(CLI::ExistingFile);
   app.add_flag("--update", update, "Rewrite the golden files of sessions without failures");
   app.add_flag("--quiet", quiet, "Print failures only");
+  std::uint64_t seed = 1;
+  int entries = 3;
+  std::vector<std::string> faults;
+  app.add_option("--fault", faults, "Print the session of a fault schedule with these faults instead");
+  app.add_option("--seed", seed, "Seed of the fault schedule");
+  app.add_option("--entries", entries, "Entries of the fault schedule")->check(CLI::Range(3, 6));
   CLI11_PARSE(app, argc, argv);
+  if (!faults.empty()) return jaymast::PrintSchedule(seed, entries, faults);
   int status = 0;
   for (const std::string& file : files) status = std::max(status, jaymast::Play(file, update, quiet));
   return status;
