--- a/src/testing/fault_schedule.cc
+++ b/src/testing/fault_schedule.cc
@@ -95,10 +95,10 @@
   if (Chance(50)) line += fmt::format(" wait {}", Between(500, 20'000));
   Line(at, line);
   m_submissions.push_back(name);
+  if (!Chance(15)) return;
   // A caller that is not sure repeats its request, here at another entry at the same time.
-  if (Chance(15))
-    Line(at, fmt::format("submit {0}x to {1} {2}", name, AnyEntry(), line.substr(line.find("key"))) +
-                 fmt::format(" body {}", name));
+  const std::string options = line.substr(line.find("key"));
+  Line(at, fmt::format("submit {0}x to {1} {2} body {0}", name, AnyEntry(), options));
 }
 
 void FaultSchedule::WriteFault(FaultKind kind) {
--- a/src/testing/session_platform.cc
+++ b/src/testing/session_platform.cc
@@ -15,8 +15,9 @@
 }  // namespace
 
 template <typename Reply>
-void SessionPlatform::Call(const std::string& entry, std::function<Reply()> act, std::function<Reply(bool)> failed,
-                           std::function<bool()> loses_answer, std::function<void(const Reply&)> done) {
+void SessionPlatform::Call(const std::string& entry, const std::function<Reply()>& act,
+                           const std::function<Reply(bool)>& failed, const std::function<bool()>& loses_answer,
+                           std::function<void(const Reply&)> done) {
   auto answered = std::make_shared<bool>(false);
   const auto answer = [answered, done = std::move(done)](const Reply& reply) {
     if (!std::exchange(*answered, true)) done(reply);
--- a/src/testing/session_platform.h
+++ b/src/testing/session_platform.h
@@ -39,8 +39,8 @@
  private:
   /// Carries one call. `act` runs at the service; `failed` makes the reply when no answer arrives in time.
   template <typename Reply>
-  void Call(const std::string& entry, std::function<Reply()> act, std::function<Reply(bool sent)> failed,
-            std::function<bool()> loses_answer, std::function<void(const Reply&)> done);
+  void Call(const std::string& entry, const std::function<Reply()>& act, const std::function<Reply(bool sent)>& failed,
+            const std::function<bool()>& loses_answer, std::function<void(const Reply&)> done);
 
   void RecordConfig();
 
