--- a/src/testing/invariants/answers_checker.h
+++ b/src/testing/invariants/answers_checker.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <algorithm>
+#include <boost/json.hpp>
+#include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "testing/invariants/invariant_checker.h"
 
@@ -32,6 +35,9 @@
     if (response.raw && response.status == kOk && !IsOwnOutput(caller->second, response.body)) {
       Report(event, "the response is not the output of the caller's own task");
     }
+    if (!response.raw && CountSucceeded(response.body) > CountOwnOutputs(caller->second, response.body)) {
+      Report(event, "the response lacks the output of a task that succeeded");
+    }
     for (const auto& [id, other] : facts().callers) {
       if (other.bodies == caller->second.bodies) continue;
       for (const std::string& mark : other.marks) {
@@ -50,6 +56,21 @@
     }
   }
 
+  static std::int64_t CountSucceeded(std::string_view body) {
+    constexpr std::string_view kSucceeded = R"("state":"succeeded")";
+    std::int64_t count = 0;
+    for (auto at = body.find(kSucceeded); at != body.npos; at = body.find(kSucceeded, at + 1)) ++count;
+    return count;
+  }
+
+  std::int64_t CountOwnOutputs(const CallerRecord& record, const std::string& body) const {
+    return std::count_if(facts().outputs.begin(), facts().outputs.end(), [&](const auto& output) {
+      const std::string& input = facts().Spec(output.first).body;
+      const bool own = std::find(record.bodies.begin(), record.bodies.end(), input) != record.bodies.end();
+      return own && body.find(boost::json::serialize(output.second)) != std::string::npos;
+    });
+  }
+
   /// Whether a text is the whole output of a task that the request asked for.
   bool IsOwnOutput(const CallerRecord& record, const std::string& text) const {
     return std::any_of(facts().outputs.begin(), facts().outputs.end(), [&](const auto& output) {
--- a/src/testing/invariants_test.cc
+++ b/src/testing/invariants_test.cc
@@ -218,6 +218,11 @@
   EXPECT_EQ(Check(both), Ids{"G6"}) << "truncated";
   Answer(m_facts.callers[1], "output of y");
   EXPECT_EQ(Check(both), (Ids{"G6", "G6"})) << "of another request";
+  Answer(m_facts.callers[1], R"({"tasks":[{"state":"succeeded","output":"output of x"}]})");
+  m_facts.callers[1].response->raw = false;
+  EXPECT_EQ(Check(both), Ids{});
+  m_facts.callers[1].response->body = R"({"tasks":[{"state":"succeeded","output":"output"}]})";
+  EXPECT_EQ(Check(both), Ids{"G6"}) << "truncated inside a list";
   m_facts.callers[1].closed = true;
   EXPECT_EQ(Check({both[0], both[1], both[2]}), Ids{}) << "the caller saw the connection close";
 }
--- a/src/testing/session_callers.cc
+++ b/src/testing/session_callers.cc
@@ -59,6 +59,8 @@
                           command.Number("accelerators", 0), command.Number("slots", 1)};
   spec.declared_run_ms = command.Number("run", kDefaultRunMs);
   spec.idempotency_key = command.Option("idem");
+  const bool is_one_of_many = command.Number("count", 1) > 1;
+  if (is_one_of_many && !spec.idempotency_key.empty()) spec.idempotency_key += "/" + std::to_string(index);
   spec.domain = DomainId(command.Option("domain"));
   spec.gang = GangId(command.Option("gang"));
   if (!spec.gang.empty()) spec.gang_size = command.Number("count", 1);
