Add peer links with verified FlatBuffers frames

Entries exchange typed messages over TCP. Each entry sends over links it opened; the hello names sender and receiver incarnation, so a frame for an old incarnation is never taken by a new one. Bad frames close the link with one log line.

--- /dev/null
+++ b/src/net/incoming_link.cc
@@ -0,0 +1,109 @@
+#include "net/incoming_link.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+#include "net/endpoint.h"
+#include "net/peer_links_state.h"
+
+namespace jaymast {
+namespace {
+
+constexpr std::size_t kChunkBytes = 64U << 10U;
+
+std::string RemoteAddress(const boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  return FormatEndpoint(socket.remote_endpoint(ignored));
+}
+
+}  // namespace
+
+IncomingLink::IncomingLink(std::shared_ptr<PeerLinksState> state, boost::asio::ip::tcp::socket socket)
+    : m_state(std::move(state)),
+      m_remote(RemoteAddress(socket)),
+      m_stream(PeerStream::Make(std::move(socket), m_state->options.server_tls)),
+      m_chunk(kChunkBytes) {}
+
+void IncomingLink::Start() {
+  m_stream->Accept(m_state->options.connect_timeout, [self = shared_from_this()](boost::system::error_code ec) {
+    if (ec) return self->Close();
+    self->Read();
+  });
+}
+
+void IncomingLink::Close() {
+  if (m_is_closed) return;
+  m_is_closed = true;
+  m_stream->Close();
+  m_state->Remove(shared_from_this());
+}
+
+void IncomingLink::Read() {
+  m_stream->ReadSome(boost::asio::buffer(m_chunk), m_state->options.silence_timeout,
+                     [self = shared_from_this()](boost::system::error_code ec, std::size_t size) {
+                       if (ec) return self->Close();
+                       self->m_buffer.append(self->m_chunk.data(), size);
+                       self->TakeFrames();
+                       if (!self->m_is_closed) self->Read();
+                     });
+}
+
+void IncomingLink::TakeFrames() {
+  std::size_t taken = 0;
+  while (m_buffer.size() - taken >= kFrameLengthBytes) {
+    const std::string_view rest = std::string_view(m_buffer).substr(taken);
+    const std::size_t length = DecodeFrameLength(rest);
+    if (length > m_state->options.max_frame_bytes) {
+      return CloseMalformed({ErrorId::kInputTooLarge, "length", std::to_string(length) + " bytes"});
+    }
+    if (rest.size() < kFrameLengthBytes + length) break;
+    if (!TakeFrame(rest.substr(kFrameLengthBytes, length))) return;
+    taken += kFrameLengthBytes + length;
+  }
+  m_buffer.erase(0, taken);
+}
+
+bool IncomingLink::TakeFrame(std::string_view bytes) {
+  m_frame.assign(bytes);
+  Result<PeerFrame> frame = DecodeFrame(m_frame);
+  if (!frame) {
+    CloseMalformed(frame.error());
+    return false;
+  }
+  if (const auto* hello = std::get_if<PeerHello>(&*frame)) return OnHello(*hello);
+  return OnMessage(std::get<PeerMessage>(std::move(*frame)));
+}
+
+bool IncomingLink::OnHello(const PeerHello& hello) {
+  if (!m_from.empty() || hello.from.empty()) {
+    CloseMalformed({ErrorId::kInputField, "hello", "repeated hello or hello without a sender"});
+    return false;
+  }
+  if (hello.to != m_state->local()) {
+    LOG(INFO) << "jaymast.peer.stale from=" << hello.from << " to=" << hello.to << ": link to another incarnation";
+    Close();
+    return false;
+  }
+  m_from = hello.from;
+  return true;
+}
+
+bool IncomingLink::OnMessage(PeerMessage message) {
+  if (m_from.empty()) {
+    CloseMalformed({ErrorId::kInputField, "hello", "first frame is not a hello"});
+    return false;
+  }
+  ++m_state->received;
+  m_state->receiver(m_from, std::move(message));
+  return true;
+}
+
+void IncomingLink::CloseMalformed(const Error& error) {
+  ++m_state->malformed;
+  LOG(WARNING) << "jaymast.peer.malformed remote=" << m_remote << " from=" << m_from << " field=" << error.path << ": "
+               << error.reason;
+  Close();
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/incoming_link.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/id.h"
+#include "net/peer_codec.h"
+#include "net/peer_stream.h"
+
+namespace jaymast {
+
+class PeerLinksState;
+
+/// The receiving side of a link that another entry opened.
+class IncomingLink : public std::enable_shared_from_this<IncomingLink> {
+ public:
+  IncomingLink(std::shared_ptr<PeerLinksState> state, boost::asio::ip::tcp::socket socket);
+
+  void Start();
+  void Close();
+
+ private:
+  void Read();
+
+  /// Takes all complete frames from the buffer. Closes the link at the first bad one.
+  void TakeFrames();
+  bool TakeFrame(std::string_view bytes);
+  bool OnHello(const PeerHello& hello);
+  bool OnMessage(PeerMessage message);
+  void CloseMalformed(const Error& error);
+
+  const std::shared_ptr<PeerLinksState> m_state;
+  const std::string m_remote;
+  const std::shared_ptr<PeerStream> m_stream;
+  std::vector<char> m_chunk;
+  std::string m_buffer;  ///< received bytes that do not form a complete frame yet
+  std::string m_frame;   ///< aligned copy of the frame that is decoded
+  EntryId m_from;        ///< empty before the hello
+  bool m_is_closed = false;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/peer_stream.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace jaymast {
+
+class TlsContext;
+
+/// Byte stream of a link: TCP, or TLS over TCP. Each operation has its own timeout, after which the stream is closed.
+class PeerStream {
+ public:
+  using Timeout = std::chrono::milliseconds;
+  using Done = std::function<void(boost::system::error_code)>;
+  using ReadDone = std::function<void(boost::system::error_code, std::size_t)>;
+
+  virtual ~PeerStream() = default;
+
+  /// Connects, and completes the TLS handshake as client.
+  virtual void Connect(const boost::asio::ip::tcp::endpoint& endpoint, Timeout timeout, Done done) = 0;
+
+  /// Completes the TLS handshake as server.
+  virtual void Accept(Timeout timeout, Done done) = 0;
+
+  virtual void ReadSome(boost::asio::mutable_buffer buffer, Timeout timeout, ReadDone done) = 0;
+  virtual void Write(boost::asio::const_buffer buffer, Timeout timeout, Done done) = 0;
+  virtual void Close() = 0;
+
+  /// @param tls parameters for TLS, or empty for plain TCP
+  static std::unique_ptr<PeerStream> Make(boost::asio::ip::tcp::socket socket, const std::shared_ptr<TlsContext>& tls);
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/net/peer_test.cc
@@ -0,0 +1,268 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/pfr.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include "net/endpoint.h"
+#include "net/io_pool.h"
+#include "net/peer_codec.h"
+#include "net/peer_links.h"
+
+namespace jaymast {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+constexpr std::chrono::seconds kPatience{20};
+
+std::string Text() { return *rc::gen::arbitrary<std::string>(); }
+std::int64_t Number() { return *rc::gen::arbitrary<std::int64_t>(); }
+bool Flag() { return *rc::gen::arbitrary<bool>(); }
+AttemptId Attempt() { return {TaskId(Text()), Number()}; }
+Resources Amounts() { return {Number(), Number(), Number(), Number()}; }
+
+template <typename E>
+E Enumerator() {
+  return static_cast<E>(*rc::gen::inRange<std::size_t>(0, EnumNames<E>::kNames.size()));
+}
+
+TaskSpec Spec() {
+  return {TaskId(Text()),
+          TeamId(Text()),
+          Text(),
+          Enumerator<WorkClass>(),
+          Enumerator<Semantics>(),
+          Amounts(),
+          Number(),
+          Text(),
+          Text(),
+          GangId(Text()),
+          Number(),
+          DomainId(Text())};
+}
+
+/// A message of the kind with the given index in PeerMessage.
+PeerMessage Message(std::size_t kind) {
+  const auto call = static_cast<std::uint64_t>(Number());
+  switch (kind) {
+    case 0:
+      return Summary{DomainId(Text()), Flag(), Amounts(), Amounts(), Number()};
+    case 1:
+      return RunRequest{call, Spec(), Number(), Number(), Number()};
+    case 2:
+      return RunReply{call, Attempt(), Enumerator<Verdict>(), Enumerator<ErrorId>(), Text(), Text()};
+    case 3:
+      return HoldRequest{Spec(), Number(), Number()};
+    case 4:
+      return HoldReply{Attempt(), Flag(), Enumerator<ErrorId>(), Text(), UpstreamId(Text()), Number()};
+    case 5:
+      return StartOrder{Spec(), Number(), Text()};
+    case 6:
+      return ReleaseHold{Attempt()};
+    case 7:
+      return TaskResult{Attempt(), Enumerator<Outcome>(), UpstreamId(Text()), Number(), Text()};
+    case 8:
+      return TaskResultAck{Attempt()};
+    case 9:
+      return TaskProbe{Attempt(), UpstreamId(Text()), Number()};
+    case 10:
+      return TaskRunning{Attempt()};
+    case 11:
+      return StopOrder{Attempt(), Enumerator<StopMode>()};
+    case 12:
+      return ConfigPush{Text()};
+    case 13:
+      return AllotmentRequest{TeamId(Text()), Number()};
+    case 14:
+      return TaskQuery{call, TaskId(Text()), TeamId(Text()), Flag(), Number()};
+    default:
+      return TaskQueryReply{call, Number(), Enumerator<Verdict>(), Enumerator<ErrorId>(), Text()};
+  }
+}
+
+/// Bytes of a frame without its length.
+std::string Payload(const std::string& frame) { return frame.substr(kFrameLengthBytes); }
+
+/// Text with all fields of a message, of any depth.
+template <typename T>
+std::string Dump(const T& value) {
+  if constexpr (std::is_arithmetic_v<T>) {
+    return std::to_string(value) + ";";
+  } else if constexpr (std::is_enum_v<T>) {
+    return std::string(ToString(value)) + ";";
+  } else if constexpr (std::is_same_v<T, std::string>) {
+    return std::to_string(value.size()) + ":" + value + ";";
+  } else if constexpr (std::is_aggregate_v<T>) {
+    std::string text = "{";
+    boost::pfr::for_each_field(value, [&text](const auto& field) { text += Dump(field); });
+    return text + "}";
+  } else {
+    return Dump(value.value());
+  }
+}
+
+std::string DumpMessage(const PeerMessage& message) {
+  return std::visit([](const auto& alternative) { return Dump(alternative); }, message);
+}
+
+// Guards against a field that is forgotten or swapped on either side.
+RC_GTEST_PROP(PeerCodecTest, EveryKindOfMessageSurvivesARoundTrip, ()) {
+  for (std::size_t kind = 0; kind < std::variant_size_v<PeerMessage>; ++kind) {
+    const PeerMessage message = Message(kind);
+    RC_ASSERT(message.index() == kind);
+    const std::string frame = EncodeFrame(message);
+    RC_ASSERT(DecodeFrameLength(frame) == frame.size() - kFrameLengthBytes);
+    const Result<PeerFrame> decoded = DecodeFrame(Payload(frame));
+    RC_ASSERT(decoded.has_value());
+    const auto& read = std::get<PeerMessage>(*decoded);
+    RC_ASSERT(read.index() == kind);
+    RC_ASSERT(DumpMessage(read) == DumpMessage(message));
+  }
+}
+
+// Guards against reads outside the buffer: any change of a frame is refused or decodes to some message.
+RC_GTEST_PROP(PeerCodecTest, CorruptedFramesAreRefusedOrDecoded, ()) {
+  std::string bytes = Payload(EncodeFrame(Message(*rc::gen::inRange<std::size_t>(0, 16))));
+  const auto position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+  bytes[position] = *rc::gen::arbitrary<char>();
+  bytes.resize(*rc::gen::inRange<std::size_t>(position, bytes.size() + 1));
+  const Result<PeerFrame> decoded = DecodeFrame(bytes);
+  RC_ASSERT(decoded.has_value() || !decoded.error().path.empty());
+}
+
+TEST(PeerCodecTest, RefusesAnUnknownEnumerator) {
+  std::string bytes = Payload(EncodeFrame(StopOrder{{TaskId("t"), 1}, StopMode::kThrottle}));
+  const std::size_t position = bytes.find('\x02', 20);
+  bool refused = false;
+  for (std::size_t i = position; i < bytes.size(); ++i) {
+    std::string changed = bytes;
+    if (changed[i] != '\x02') continue;
+    changed[i] = '\x7f';
+    const Result<PeerFrame> decoded = DecodeFrame(changed);
+    refused = refused || (!decoded && decoded.error().path == "mode");
+  }
+  EXPECT_TRUE(refused);
+}
+
+/// One side of a link, which keeps the texts of received ConfigPush messages.
+class Side {
+ public:
+  Side(IoPool& pool, const EntryId& id, PeerLinksOptions options = {}) {
+    options.min_backoff = std::chrono::milliseconds(1);
+    m_links = std::move(*PeerLinks::Listen(pool, options, id, [this](const EntryId& from, PeerMessage message) {
+      const std::lock_guard lock(m_mutex);
+      m_received.insert({from.value(), std::get<ConfigPush>(message).config});
+      m_changed.notify_all();
+    }));
+  }
+
+  PeerLinks& links() { return *m_links; }
+
+  bool WaitFor(const std::string& from, const std::string& config) {
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, kPatience, [&] { return m_received.count({from, config}) > 0; });
+  }
+
+ private:
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::set<std::pair<std::string, std::string>> m_received;
+  std::unique_ptr<PeerLinks> m_links;
+};
+
+class PeerLinksTest : public testing::Test {
+ protected:
+  ~PeerLinksTest() override { m_pool.Stop(); }
+
+  IoPool m_pool{2};
+};
+
+TEST_F(PeerLinksTest, DeliversFramesWithTheSenderOfTheHello) {
+  Side a(m_pool, EntryId("a"));
+  Side b(m_pool, EntryId("b"));
+  a.links().Connect(EntryId("b"), b.links().address());
+  a.links().Send(EntryId("b"), ConfigPush{"first"});
+  a.links().Send(EntryId("b"), ConfigPush{std::string(1'000'000, 'x')});
+  EXPECT_TRUE(b.WaitFor("a", "first"));
+  EXPECT_TRUE(b.WaitFor("a", std::string(1'000'000, 'x')));
+}
+
+// Guards against a message for one incarnation being taken by the next one at the same address.
+TEST_F(PeerLinksTest, NewIncarnationGetsNoFramesOfTheOldOne) {
+  Side a(m_pool, EntryId("a"));
+  Side b(m_pool, EntryId("b.2"));
+  a.links().Connect(EntryId("b.1"), b.links().address());
+  a.links().Send(EntryId("b.1"), ConfigPush{"old"});
+  a.links().Connect(EntryId("b.2"), b.links().address());
+  a.links().Send(EntryId("b.2"), ConfigPush{"new"});
+  EXPECT_TRUE(b.WaitFor("a", "new"));
+  EXPECT_EQ(b.links().counters().received, 1U);
+}
+
+TEST_F(PeerLinksTest, ConnectsAgainUnderANewIncarnation) {
+  Side a(m_pool, EntryId("a.1"));
+  Side b(m_pool, EntryId("b"));
+  a.links().Connect(EntryId("b"), b.links().address());
+  a.links().Send(EntryId("b"), ConfigPush{"one"});
+  ASSERT_TRUE(b.WaitFor("a.1", "one"));
+  a.links().SetLocalId(EntryId("a.2"));
+  a.links().Send(EntryId("b"), ConfigPush{"two"});
+  EXPECT_TRUE(b.WaitFor("a.2", "two"));
+}
+
+/// Sends bytes to the links and waits until they close the connection.
+void SendRaw(const std::string& address, const std::string& bytes) {
+  boost::asio::io_context context;
+  Tcp::socket socket(context);
+  socket.connect(*ParseEndpoint(address));
+  boost::system::error_code ec;
+  boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+  std::string answer;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ec);
+}
+
+TEST_F(PeerLinksTest, MalformedFramesCloseTheLink) {
+  Side b(m_pool, EntryId("b"));
+  const std::string hello = EncodeFrame(PeerHello{EntryId("a"), EntryId("b")});
+  const std::vector<std::string> streams = {
+      hello + std::string("\x08\x00\x00\x00garbage!", 12),  // fails the verification
+      std::string("\xff\xff\xff\xff", 4),                   // longer than the bound
+      EncodeFrame(ConfigPush{"before the hello"}),          // no hello
+      hello + hello,                                        // two of them
+      hello + std::string("\x00\x00\x00\x00", 4),           // empty frame
+  };
+  for (std::size_t i = 0; i < streams.size(); ++i) {
+    SendRaw(b.links().address(), streams[i]);
+    EXPECT_EQ(b.links().counters().malformed, i + 1) << "stream " << i;
+  }
+  EXPECT_EQ(b.links().counters().received, 0U);
+}
+
+// Guards against a peer that reads nothing growing the memory of the sender.
+TEST_F(PeerLinksTest, FullQueueDropsFrames) {
+  boost::asio::io_context context;
+  Tcp::acceptor silent(context, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  PeerLinksOptions options;
+  options.max_queued_bytes = 1U << 20U;
+  Side a(m_pool, EntryId("a"), options);
+  a.links().Connect(EntryId("silent"), FormatEndpoint(silent.local_endpoint()));
+  const auto limit = std::chrono::steady_clock::now() + kPatience;
+  while (a.links().counters().dropped == 0 && std::chrono::steady_clock::now() < limit) {
+    a.links().Send(EntryId("silent"), ConfigPush{std::string(100'000, 'x')});
+  }
+  EXPECT_GT(a.links().counters().dropped, 0U);
+}
+
+}  // namespace
+}  // namespace jaymast
