Report the epoch before a fence in the runner protocol

Cause: an owner could not tell a runner that restarted from one that remembers its tasks. Change: the fence answer carries the highest epoch accepted before; codec and fake runner follow.

--- a/src/model/runner_codec.cc
+++ b/src/model/runner_codec.cc
@@ -242,6 +242,7 @@
                        {"tasks", std::move(tasks)}};
   if (!reply.reason.empty()) body["reason"] = reply.reason;
   WriteToken(body, reply.current);
+  body["previous_epoch"] = reply.previous_epoch;
   return json::serialize(body);
 }
 
@@ -254,6 +255,7 @@
   reply.reason = reader.String("reason", "", kMaxReasonBytes);
   reply.current.owner = EntryId(reader.String("owner", "", kMaxNameBytes));
   reply.current.epoch = reader.Int("epoch", 0, 0, INT64_MAX);
+  reply.previous_epoch = reader.Int("previous_epoch", 0, 0, INT64_MAX);
   reply.now_ms = reader.Int("now_ms", 0, 0, kMaxTimeMs);
   reply.result = reader.Enum("result", RunnerTaskState::kSucceeded);
   reply.output = reader.String("output", "", kMaxOutputBytes);
--- a/src/model/wire_codec_test.cc
+++ b/src/model/wire_codec_test.cc
@@ -120,6 +120,7 @@
                               Text(),
                               Token(),
                               Number(),
+                              Number(),
                               AnyOf<RunnerTaskState>(),
                               Text(),
                               Some<RunnerTask>(AnyRunnerTask)};
@@ -128,6 +129,7 @@
     RC_ASSERT(again.has_value());
     RC_ASSERT(again->output == reply.output);
     RC_ASSERT(again->current == reply.current);
+    RC_ASSERT(again->previous_epoch == reply.previous_epoch);
     RC_ASSERT(again->tasks.size() == reply.tasks.size());
     RC_ASSERT(EncodeUpstreamReply(*again) == body);
   });
--- a/src/standin/runner_state.cc
+++ b/src/standin/runner_state.cc
@@ -110,6 +110,7 @@
     return Refuse({}, token, "epoch is held by another owner", now);
   }
   const bool changed = !IsOwner(token);
+  const std::int64_t previous_epoch = m_owner.epoch;
   m_owner = token;
   if (changed) {
     Event event = MakeEvent(EventKind::kRunnerFenced, now);
@@ -117,6 +118,7 @@
     m_emit(event);
   }
   UpstreamReply reply = Ok(now);
+  reply.previous_epoch = previous_epoch;
   reply.tasks = Report(now);
   return reply;
 }
