--- a/src/core/entry_requests.cc
+++ b/src/core/entry_requests.cc
@@ -60,14 +60,15 @@
   Event event;
   event.request = id;
   event.config_version = m_config.config().version;
+  event.kind = EventKind::kRequestReceived;
   if (!principal) {
+    m_effects.Emit(event);
     event.kind = EventKind::kKeyRefused;
     event.detail = std::string(ToString(principal.error().id));
     m_effects.Emit(event);
     Refuse(id, kStatusUnauthorized, principal.error());
     return std::nullopt;
   }
-  event.kind = EventKind::kRequestReceived;
   event.team = principal->team;
   event.detail = principal->key.value();
   m_effects.Emit(event);
--- a/src/tasks/task_manager.cc
+++ b/src/tasks/task_manager.cc
@@ -24,6 +24,9 @@
 constexpr Duration kProbeSweep = std::chrono::seconds(1);
 constexpr Duration kFirstProbe = std::chrono::seconds(3);
 
+/// How long a caller waits at least for the acceptance to be recorded.
+constexpr Duration kAcceptTimeout = std::chrono::seconds(5);
+
 /// How long a forwarded query may take beyond the time that the caller waits.
 constexpr Duration kForwardMargin = std::chrono::seconds(2);
 
@@ -94,6 +97,7 @@
   Submission& submission = m_submissions[call];
   submission.request = request;
   submission.wait_until = wait_until;
+  submission.accept_by = std::max(wait_until, m_context.Now() + kAcceptTimeout);
   submission.open_accepts = specs.size();
   GangId gang;
   for (TaskSpec& spec : specs) {
@@ -250,16 +254,16 @@
 void TaskManager::AnswerSubmission(std::uint64_t call, bool is_timeout) {
   const auto open = m_submissions.find(call);
   if (open == m_submissions.end()) return;
-  if (is_timeout && open->second.open_accepts > 0) {
-    const auto plan = m_plan_submissions.find(call);
-    if (plan != m_plan_submissions.end()) return;
-    // The caller's wait ends before the store has answered. The tasks may still be accepted.
-    Submission submission = std::move(open->second);
+  if (open->second.open_accepts > 0) {
+    if (!is_timeout || open->second.request == 0) return;
+    if (m_context.Now() < open->second.accept_by) {
+      // The wait for outcomes is over, but the answer must say whether the tasks were accepted.
+      return m_context.timers.At(open->second.accept_by, [this, call] { AnswerSubmission(call, true); });
+    }
+    const RequestId request = open->second.request;
     m_submissions.erase(open);
-    Response response = ErrorResponse(
-        Error{ErrorId::kOutcomeUnknown, "", "the acceptance is not confirmed yet; repeat with the same key"},
-        Verdict::kMayHaveRun);
-    return m_context.effects.Reply(submission.request, response);
+    const Error error{ErrorId::kOutcomeUnknown, "", "the acceptance is not confirmed yet; repeat with the same key"};
+    return m_context.effects.Reply(request, ErrorResponse(error, Verdict::kMayHaveRun));
   }
   const Submission submission = std::move(open->second);
   m_submissions.erase(open);
--- a/src/tasks/task_manager.h
+++ b/src/tasks/task_manager.h
@@ -73,7 +73,7 @@
     std::map<TaskId, Error> refused;
     std::size_t open_accepts = 0;
     Time wait_until;
-    bool may_have_run = false;
+    Time accept_by;  ///< latest answer when the acceptance is not confirmed
   };
 
   /// A caller, or another entry on behalf of a caller, that waits for one task.
