Finish the work of waiting callers in a planned stop and tell peers of handovers

Change: a drain serves waiting callers up to drain_wait, a summary with a new handover count makes peers read the owner rows, probes to an entry without a record look the owner up, and a preview is refused at once by an owner without usable upstreams.

--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -77,6 +77,7 @@
   };
   hooks.on_committed = [this](const UpstreamId& id) { m_executor.OnCommitted(id); };
   hooks.on_lapsed = [this](const UpstreamId& id) { m_executor.OnLapsed(id); };
+  hooks.on_handed_over = [this] { SendSummary(); };
   hooks.on_gone = [this](const UpstreamId& id) { m_allotments.Unlend(id); };
   return hooks;
 }
@@ -120,6 +121,10 @@
 
 void EntryNode::Sync() {
   m_context.After(m_context.settings.renew_interval, [this] { Sync(); });
+  ReadTable();
+}
+
+void EntryNode::ReadTable() {
   if (m_syncing || IsStopped()) return;
   m_syncing = true;
   const Time now = m_context.Now();
@@ -171,6 +176,7 @@
   m_table.Commit({{std::string(kConfigKey), 0}}, {{std::string(kConfigKey), boost::json::serialize(ToJson(initial))}},
                  [this, initial](CommitOutcome outcome, std::int64_t version) {
                    if (outcome == CommitOutcome::kCommitted) m_config.OnCommitted(initial, version);
+                   if (outcome == CommitOutcome::kConflict) ReadTable();
                  });
 }
 
@@ -224,12 +230,16 @@
 void EntryNode::OnStopRequested() {
   if (m_membership.state() == EntryState::kDraining || IsStopped()) return;
   m_membership.Handle(LifecycleEvent::kStopRequested);
-  m_tasks.Drain();
+  m_drain_until = m_context.Now() + m_context.settings.drain_wait;
+  m_tasks.StopAccepting();
   m_executor.RefuseAllWaiting();
   m_ownership.ReleaseAll();
 }
 
 void EntryNode::AdvanceDrain() {
+  // Callers that wait for outcomes are served as long as the settings allow, then get the state of their tasks.
+  if (m_tasks.HasWaiters() && m_context.Now() < m_drain_until) return;
+  m_tasks.Drain();
   const bool is_quiet = m_previews.open() == 0 && m_executor.OpenRuns() == 0 && m_tasks.IsQuiet() &&
                         m_operations.IsIdle() && !m_ownership.IsReleasing();
   if (!is_quiet || m_membership.IsLeaving()) return;
@@ -238,8 +248,12 @@
 
 void EntryNode::SendSummaries() {
   m_context.After(m_context.settings.summary_interval, [this] { SendSummaries(); });
-  if (!m_membership.IsJoined()) return;
-  const Summary summary = m_executor.MakeSummary();
+  if (m_membership.IsJoined()) SendSummary();
+}
+
+void EntryNode::SendSummary() {
+  Summary summary = m_executor.MakeSummary();
+  summary.handovers = m_ownership.handovers();
   const auto& peers = m_membership.peers();
   std::vector<EntryId> remote;
   for (const auto& [id, peer] : peers) {
@@ -255,6 +269,16 @@
   }
 }
 
+void EntryNode::OnSummary(const EntryId& from, const Summary& summary) {
+  const auto peer = m_membership.peers().find(from);
+  const bool has_handed_over = peer != m_membership.peers().end() && summary.domain == m_context.settings.domain &&
+                               peer->second.summary.handovers != summary.handovers;
+  m_membership.OnSummary(from, summary);
+  if (!has_handed_over) return;
+  m_next_owner_read = Time();
+  ReadTable();
+}
+
 void EntryNode::Push(const ClusterConfig& config) {
   const ConfigPush push{boost::json::serialize(ToJson(config))};
   for (const auto& [id, peer] : m_membership.peers()) m_effects.SendPeer(id, push);
@@ -305,7 +329,7 @@
   EntryNode& node;
   const EntryId& from;
 
-  void operator()(const Summary& message) const { node.m_membership.OnSummary(from, message); }
+  void operator()(const Summary& message) const { node.OnSummary(from, message); }
   void operator()(const RunRequest& message) const {
     node.m_executor.Run(message, from,
                         [this_node = &node, to = from](const RunReply& reply) { this_node->Send(to, reply); });
--- a/src/core/entry_node.h
+++ b/src/core/entry_node.h
@@ -69,6 +69,7 @@
   Operations::Hooks OperationsHooks();
 
   void Sync();
+  void ReadTable();
   void OnSynced(bool is_full, bool has_owners, const ReadReply& reply);
   void OnConfigMissing();
   void OnConfigInstalled();
@@ -78,6 +79,8 @@
   void AdvanceDrain();
   void ReclaimAllotments();
   void SendSummaries();
+  void SendSummary();
+  void OnSummary(const EntryId& from, const Summary& summary);
   void Send(const EntryId& to, const PeerMessage& message);
   void Push(const ClusterConfig& config);
   PlannerFacts Facts() const;
@@ -114,6 +117,7 @@
   Time m_next_full_read;
   Time m_next_owner_read;
   Time m_recover_until;
+  Time m_drain_until;
   std::uint64_t m_next_preview = 1;
   bool m_syncing = false;
 };
--- a/src/core/entry_settings.h
+++ b/src/core/entry_settings.h
@@ -30,6 +30,8 @@
   Duration handover_interval = std::chrono::seconds(1);
   Duration domain_return_ramp = std::chrono::seconds(30);  ///< starts are rate limited after a domain comes back
 
+  Duration drain_wait = std::chrono::seconds(20);  ///< how long a planned stop waits for callers that wait for outcomes
+
   std::int64_t table_writes_per_second = 40;  ///< this entry's part of the write budget of the table service
   std::int64_t max_queued_tasks = 20'000;
   std::int64_t max_open_requests = 10'000;
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -23,6 +23,7 @@
   Resources free;
   Resources largest_free;  ///< free capacity of the sender's least loaded upstream
   std::int64_t config_version = 0;
+  std::int64_t handovers = 0;  ///< upstreams that the sender has handed over; a change tells peers to read the owners
 };
 
 /// Asks an owner to place and run a task that needs no claim.
--- a/src/ownership/ownership.cc
+++ b/src/ownership/ownership.cc
@@ -264,6 +264,8 @@
                    if (outcome != CommitOutcome::kCommitted) return;
                    found->second.row = record;
                    found->second.row_version = version;
+                   ++m_handovers;
+                   m_hooks.on_handed_over();
                  });
 }
 
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -50,6 +50,8 @@
     std::function<void(const UpstreamId&)> on_committed;
     /// The leases of all tasks on the upstream have surely lapsed.
     std::function<void(const UpstreamId&)> on_lapsed;
+    /// The owner row of a handed over upstream was committed.
+    std::function<void()> on_handed_over;
     /// The upstream left the list for good.
     std::function<void(const UpstreamId&)> on_gone;
   };
@@ -78,6 +80,9 @@
   std::int64_t Epoch(const UpstreamId& id) const;
   std::size_t OwnedCount() const;
 
+  /// Upstreams handed over to other entries so far.
+  std::int64_t handovers() const { return m_handovers; }
+
   /// Whether every row that names this entry has been fenced, so that its capacity is known.
   bool IsSettled() const;
 
@@ -137,6 +142,7 @@
   Hooks m_hooks;
   std::map<UpstreamId, Upstream> m_upstreams;
   Time m_next_handover;
+  std::int64_t m_handovers = 0;
   int m_open_releases = 0;
   bool m_rows_read = false;
 };
--- a/src/tasks/task_adoption.cc
+++ b/src/tasks/task_adoption.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 void TaskManager::OnAdoptRows(const std::vector<Row>& rows) {
-  if (!m_membership.IsLeaseValid() || m_draining) return;
+  if (!m_membership.IsLeaseValid() || m_closed) return;
   for (const Row& row : rows) {
     const EntryId home(row.key.substr(kAdoptPrefix.size()));
     const EntryId adopter(row.value);
--- a/src/tasks/task_manager.cc
+++ b/src/tasks/task_manager.cc
@@ -80,7 +80,7 @@
 TaskId TaskManager::NewTaskId() { return TaskId(fmt::format("{}-{}", m_context.self.value(), m_next_task++)); }
 
 std::optional<Error> TaskManager::CheckAdmission(std::size_t count) const {
-  if (m_draining) return Error{ErrorId::kNotServing, "", "this entry is shutting down"};
+  if (m_closed) return Error{ErrorId::kNotServing, "", "this entry is shutting down"};
   if (!m_membership.IsLeaseValid()) {
     return Error{ErrorId::kStoreUnavailable, "", "durable work cannot be recorded while the store is unreachable"};
   }
@@ -475,7 +475,7 @@
 }
 
 void TaskManager::Drain() {
-  m_draining = true;
+  if (std::exchange(m_draining, true)) return;
   std::vector<TaskId> waited;
   for (const auto& [task, waiter] : m_waiters) waited.push_back(task);
   for (const TaskId& task : waited) AnswerWaiters(task);
@@ -536,8 +536,9 @@
   const AttemptId id{task.spec.id, task.attempt};
   constexpr std::int64_t kSilentProbesBeforeLookup = 2;
   const bool is_owner_silent = ++task.silent_probes > kSilentProbesBeforeLookup;
-  if (is_owner_silent || task.owner.empty()) FindOwner(id);
-  if (!task.owner.empty()) m_hooks.send(task.owner, TaskProbe{id, task.upstream, task.epoch});
+  const bool is_owner_known = m_membership.HasRecord(task.owner);
+  if (is_owner_silent || !is_owner_known) FindOwner(id);
+  if (is_owner_known) m_hooks.send(task.owner, TaskProbe{id, task.upstream, task.epoch});
 }
 
 }  // namespace jaymast
--- a/src/tasks/task_manager.h
+++ b/src/tasks/task_manager.h
@@ -53,7 +53,13 @@
   /// Takes in the rows of a read of the prefix `adopt/`.
   void OnAdoptRows(const std::vector<Row>& rows);
 
-  /// Stops accepting tasks and asking for holds, and answers all waiting callers, for a planned stop.
+  /// Begins a planned stop: no new tasks are accepted, and those of waiting callers go on.
+  void StopAccepting() { m_closed = true; }
+
+  /// Whether callers wait for outcomes.
+  bool HasWaiters() const { return !m_waiters.empty() || !m_submissions.empty(); }
+
+  /// Stops asking for holds, and answers all waiting callers with the state of their tasks.
   void Drain();
 
   /// Whether no write is open and no owner was asked for a hold.
@@ -176,7 +182,8 @@
   std::uint64_t m_next_gang = 1;
   std::uint64_t m_next_call = 1;
   std::size_t m_open_holds = 0;
-  bool m_draining = false;
+  bool m_closed = false;    ///< accepts no tasks
+  bool m_draining = false;  ///< asks for no holds
 };
 
 }  // namespace jaymast
--- a/src/upstream/executor.cc
+++ b/src/upstream/executor.cc
@@ -92,11 +92,13 @@
 void Executor::Run(const RunRequest& request, const EntryId& from, RunDone done) {
   const Time now = m_context.Now();
   const AttemptId id{request.spec.id, request.attempt};
-  const Time deadline = now + std::chrono::milliseconds(request.remaining_ms);
-  m_waiting_runs.insert_or_assign(id, WaitingRun{request, from, deadline, std::move(done)});
-  const WaitingTask waiting{id, request.spec, from, now, deadline};
+  const Duration remaining = std::chrono::milliseconds(request.remaining_ms);
+  m_waiting_runs.insert_or_assign(id, WaitingRun{request, from, now + remaining, std::move(done)});
+  // Half of the time is left for a try at another owner.
+  const WaitingTask waiting{id, request.spec, from, now, now + remaining / 2};
   if (m_queue.size() == 0 && Place(waiting)) return;
-  if (!m_queue.Push(waiting)) return RefuseWaiting(waiting);
+  const bool may_wait = m_membership.MayStart() && HasUsableUpstream();
+  if (!may_wait || !m_queue.Push(waiting)) return RefuseWaiting(waiting);
   Dispatch();
 }
 
@@ -110,6 +112,13 @@
   Dispatch();
 }
 
+bool Executor::HasUsableUpstream() const {
+  return std::any_of(m_upstreams.begin(), m_upstreams.end(), [this](const auto& item) {
+    const OwnedUpstream& upstream = item.second;
+    return upstream.is_reachable && !IsOut(upstream.info) && !upstream.health.IsEjected();
+  });
+}
+
 void Executor::Dispatch() {
   if (m_dispatching || m_queue.size() == 0) return;
   m_dispatching = true;
--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -93,6 +93,7 @@
   bool Place(const WaitingTask& waiting);
   bool IsEligible(const OwnedUpstream& upstream) const;
   bool IsOut(const UpstreamInfo& info) const;
+  bool HasUsableUpstream() const;
   void UpdateEligibility();
   void UpdateEligibility(const UpstreamId& id);
   OwnedTask& Hold(const WaitingTask& waiting, const UpstreamId& upstream);
