--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -219,6 +219,7 @@
       return;
     case EntryState::kServing:
     case EntryState::kIsolated:
+      m_membership.ExpirePeers();
       return m_ownership.Evaluate();
     case EntryState::kDraining:
       return AdvanceDrain();
--- a/src/core/entry_settings.h
+++ b/src/core/entry_settings.h
@@ -21,10 +21,11 @@
   Duration lease_duration = std::chrono::seconds(3);
   Duration drift_bound = std::chrono::milliseconds(500);
   Duration summary_interval = std::chrono::seconds(1);
-  Duration peer_silence = std::chrono::seconds(3);  ///< a silent peer gets no requests
+  Duration peer_silence = std::chrono::milliseconds(2500);  ///< a silent peer gets no requests
   Duration journal_interval = std::chrono::milliseconds(20);
   Duration hold_duration = std::chrono::seconds(2);
-  Duration task_lease = std::chrono::seconds(5);
+  /// Longer than a takeover after a crash, so that the tasks of a dead owner go on.
+  Duration task_lease = std::chrono::seconds(10);
   Duration upstream_call_timeout = std::chrono::seconds(2);
   Duration upstream_renew_interval = std::chrono::seconds(1);
   Duration handover_interval = std::chrono::seconds(1);
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -105,9 +105,7 @@
     peer.record = *record;
     peer.expires_at = now + m_context.settings.lease_duration + m_context.settings.drift_bound;
   }
-  changed = RemoveAbsentPeers(prefix, rows) || changed;
-  ExpirePeers();
-  return changed;
+  return RemoveAbsentPeers(prefix, rows) || changed;
 }
 
 bool Membership::RemoveAbsentPeers(const std::string& prefix, const std::vector<Row>& rows) {
@@ -147,8 +145,10 @@
 
 void Membership::ExpirePeers() {
   if (!IsLeaseValid() || m_leaving) return;
-  for (const auto& [id, peer] : m_peers) {
-    if (IsExpiryDue(id, peer)) Expire(id, peer.version);
+  for (auto& [id, peer] : m_peers) {
+    if (peer.is_expiring || !IsExpiryDue(id, peer)) continue;
+    peer.is_expiring = true;
+    Expire(id, peer.version);
   }
 }
 
@@ -157,6 +157,12 @@
   m_table.Commit({{EntryKey(id), version}, IsMember()},
                  {{EntryKey(id), std::nullopt}, {HomeKey(id), std::nullopt}, {AdoptKey(id), m_context.self.value()}},
                  [this, id](CommitOutcome outcome, std::int64_t /*version*/) {
+                   const auto peer = m_peers.find(id);
+                   if (peer != m_peers.end()) {
+                     peer->second.is_expiring = false;
+                     // The record was renewed; the next read tells how long it has to stay unchanged again.
+                     peer->second.expires_at = m_context.Now() + m_context.settings.lease_duration;
+                   }
                    if (outcome != CommitOutcome::kCommitted) return;
                    Event event;
                    event.kind = EventKind::kEntryExpired;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -22,6 +22,7 @@
   EntryRecord record;
   std::int64_t version = 0;
   Time expires_at;   ///< earliest time at which the record may be expired, if it stays unchanged
+  bool is_expiring = false;  ///< a transaction that expires the record is open
   Time heard_until;  ///< end of the time for which the last heartbeat counts
   Summary summary;
 };
@@ -48,6 +49,9 @@
 
   void OnSummary(const EntryId& from, const Summary& summary);
 
+  /// Expires the peers whose record has stayed unchanged for long enough.
+  void ExpirePeers();
+
   /// Sets the configuration version that the next renewals acknowledge.
   void AcknowledgeConfig(std::int64_t version) { m_config_version = version; }
 
@@ -82,7 +86,6 @@
  private:
   void ScheduleRenewal();
   void OnRenewed(Time sent_at, bool committed, std::int64_t version);
-  void ExpirePeers();
   bool IsExpiryDue(const EntryId& id, const Peer& peer) const;
   Duration ExpiryDelay(const EntryId& id, const Peer& peer) const;
   void Expire(const EntryId& id, std::int64_t version);
--- a/src/routing/preview_gateway.cc
+++ b/src/routing/preview_gateway.cc
@@ -16,6 +16,9 @@
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTimeout = 504;
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(5);
+/// A second attempt is sent to another owner after this part of the time that is left, and at the latest after the bound.
+constexpr std::int64_t kHedgeDivisor = 4;
+constexpr Duration kMaxHedgeWait = std::chrono::milliseconds(400);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(100);
 
 }  // namespace
@@ -40,19 +43,24 @@
   Preview& preview = found->second;
   const std::optional<EntryId> owner = m_router.ChooseForPreview(preview.spec, preview.tried);
   if (!owner) {
+    ++preview.attempt;
     preview.last_error = Error{ErrorId::kNoCapacity, "", "no entry serves upstreams for this task"};
     return Retry(call);
   }
   preview.tried.insert(*owner);
   ++preview.attempt;
-  preview.is_sent = true;
+  preview.open_attempts.insert(preview.attempt);
   RunRequest request;
   request.call = call;
   request.spec = preview.spec;
   request.attempt = preview.attempt;
   request.remaining_ms = ToMillis(preview.deadline - m_context.Now());
   request.config_version = m_config.config().version;
-  if (*owner != m_context.self) return m_context.effects.SendPeer(*owner, request);
+  if (*owner != m_context.self) {
+    const Duration wait = std::min((preview.deadline - m_context.Now()) / kHedgeDivisor, kMaxHedgeWait);
+    m_context.After(wait, [this, call, attempt = preview.attempt] { Hedge(call, attempt); });
+    return m_context.effects.SendPeer(*owner, request);
+  }
   m_executor.Run(request, m_context.self, [this](const RunReply& reply) { OnRunReply(reply); });
 }
 
@@ -60,12 +68,13 @@
   const auto found = m_open.find(reply.call);
   if (found == m_open.end()) return;
   Preview& preview = found->second;
-  const bool is_current = reply.id == AttemptId{preview.spec.id, preview.attempt} && preview.is_sent;
-  if (!is_current) return;
-  preview.is_sent = false;
+  const bool is_open = reply.id.task == preview.spec.id && preview.open_attempts.erase(reply.id.attempt) > 0;
+  if (!is_open) return;
   preview.last_error = Error{reply.error, "", reply.reason};
   if (reply.verdict != Verdict::kRan) {
     preview.may_have_run = preview.may_have_run || reply.verdict == Verdict::kMayHaveRun;
+    // Another attempt may still bring the answer.
+    if (!preview.open_attempts.empty()) return;
     return Retry(reply.call);
   }
   Response response;
@@ -81,6 +90,13 @@
   Answer(reply.call, response);
 }
 
+void PreviewGateway::Hedge(std::uint64_t call, std::int64_t attempt) {
+  const auto found = m_open.find(call);
+  if (found == m_open.end() || !found->second.open_attempts.contains(attempt)) return;
+  // The owner may be dead or paused. Previews are idempotent, so a second attempt does no harm.
+  if (m_budget.TryRetry(m_context.Now())) Attempt(call);
+}
+
 void PreviewGateway::Retry(std::uint64_t call) {
   const Preview& preview = m_open.at(call);
   const Time now = m_context.Now();
@@ -101,7 +117,7 @@
   const auto found = m_open.find(call);
   if (found == m_open.end()) return;
   Preview& preview = found->second;
-  preview.may_have_run = preview.may_have_run || preview.is_sent;
+  preview.may_have_run = preview.may_have_run || !preview.open_attempts.empty();
   std::string reason = "the deadline passed";
   if (preview.last_error.id != ErrorId::kNone) reason += "; last attempt: " + preview.last_error.reason;
   Fail(call, kStatusTimeout, Error{ErrorId::kDeadlineExceeded, "", std::move(reason)});
@@ -130,7 +146,7 @@
   while (!m_open.empty()) {
     const std::uint64_t call = m_open.begin()->first;
     Preview& preview = m_open.begin()->second;
-    preview.may_have_run = preview.may_have_run || preview.is_sent;
+    preview.may_have_run = preview.may_have_run || !preview.open_attempts.empty();
     Fail(call, kStatusUnavailable, Error{ErrorId::kNotServing, "", "this entry lost its lease"});
   }
 }
--- a/src/routing/preview_gateway.h
+++ b/src/routing/preview_gateway.h
@@ -44,13 +44,14 @@
     Time deadline;
     std::int64_t attempt = 0;
     bool may_have_run = false;  ///< an attempt ended without certainty
-    bool is_sent = false;       ///< the current attempt is open at an owner
+    std::set<std::int64_t> open_attempts;  ///< attempts that an owner has not answered yet
     std::set<EntryId> tried;
     Error last_error;
   };
 
   void Attempt(std::uint64_t call);
   void Retry(std::uint64_t call);
+  void Hedge(std::uint64_t call, std::int64_t attempt);
   void OnDeadline(std::uint64_t call);
   void Answer(std::uint64_t call, const Response& response);
   void Fail(std::uint64_t call, int status, Error error);
--- a/src/tasks/task_manager.cc
+++ b/src/tasks/task_manager.cc
@@ -27,6 +27,9 @@
 /// How long a caller waits at least for the acceptance to be recorded.
 constexpr Duration kAcceptTimeout = std::chrono::seconds(5);
 
+/// A forwarded query is repeated, because its home may die or another entry may take the task over.
+constexpr Duration kForwardRepeat = std::chrono::seconds(1);
+
 /// How long a forwarded query may take beyond the time that the caller waits.
 constexpr Duration kForwardMargin = std::chrono::seconds(2);
 
@@ -139,21 +142,59 @@
   record.id.task = id;
   record.spec = task.spec;
   const bool is_repeated = insert && m_idempotent.at(insert->key) != id;
-  if (is_repeated) return ResolveDuplicate(id, submission);
+  if (is_repeated) return JoinFirst(m_idempotent.at(insert->key), id, submission);
   m_journal.Append(std::move(record), std::move(insert),
                    [this, id, submission](CommitOutcome outcome) { OnAccepted(id, submission, outcome); });
 }
 
+void TaskManager::JoinFirst(const TaskId& first, const TaskId& repeated, std::uint64_t submission) {
+  const auto known = m_tasks.find(first);
+  if (known == m_tasks.end()) return ResolveDuplicate(repeated, submission);
+  Submission& open = m_submissions.at(submission);
+  const bool is_same = RequestDigest(known->second.spec) == RequestDigest(m_tasks.at(repeated).spec);
+  m_tasks.erase(repeated);
+  m_submissions_of.erase(repeated);
+  if (!is_same) {
+    open.refused[repeated] =
+        Error{ErrorId::kIdempotencyMismatch, "Idempotency-Key", "the key was used for another request"};
+    return CloseAccept(submission);
+  }
+  std::replace(open.tasks.begin(), open.tasks.end(), repeated, first);
+  m_submissions_of[first].insert(submission);
+  if (known->second.phase == TaskPhase::kAccepting) {
+    m_joined[first].push_back(submission);
+  } else {
+    CloseAccept(submission);
+  }
+}
+
+void TaskManager::CloseJoined(const TaskId& first, const std::optional<Error>& refused) {
+  const auto found = m_joined.find(first);
+  if (found == m_joined.end()) return;
+  const std::vector<std::uint64_t> submissions = std::move(found->second);
+  m_joined.erase(found);
+  for (const std::uint64_t submission : submissions) {
+    const auto open = m_submissions.find(submission);
+    if (open != m_submissions.end() && refused) open->second.refused[first] = *refused;
+    CloseAccept(submission);
+  }
+}
+
 void TaskManager::OnAccepted(const TaskId& id, std::uint64_t submission, CommitOutcome outcome) {
-  if (outcome == CommitOutcome::kConflict) return ResolveDuplicate(id, submission);
+  if (outcome == CommitOutcome::kConflict) {
+    CloseJoined(id, Error{ErrorId::kStoreUnavailable, "Idempotency-Key", "another entry has this key; try again"});
+    return ResolveDuplicate(id, submission);
+  }
   const auto found = m_tasks.find(id);
   const auto open = m_submissions.find(submission);
   if (outcome == CommitOutcome::kUnavailable) {
     if (!found->second.spec.idempotency_key.empty()) m_idempotent.erase(IdempotencyRowKey(found->second.spec));
     m_tasks.erase(found);
     m_submissions_of.erase(id);
+    const Error error{ErrorId::kStoreUnavailable, "", "the acceptance could not be recorded"};
+    CloseJoined(id, error);
     if (open == m_submissions.end()) return;
-    open->second.refused[id] = Error{ErrorId::kStoreUnavailable, "", "the acceptance could not be recorded"};
+    open->second.refused[id] = error;
     return CloseAccept(submission);
   }
   HomeTask& task = found->second;
@@ -161,6 +202,7 @@
   if (!task.spec.gang.empty()) m_gangs[task.spec.gang].insert(id);
   Enqueue(task);
   CloseAccept(submission);
+  CloseJoined(id, std::nullopt);
 }
 
 void TaskManager::ResolveDuplicate(const TaskId& id, std::uint64_t submission) {
@@ -351,10 +393,7 @@
       return AnswerForwarded(call, kStatusNotFound, Error{ErrorId::kTaskUnknown, "", "no such task"});
     }
     const EntryId adopter(reply.rows.front().value);
-    if (!m_membership.HasRecord(adopter)) {
-      return AnswerForwarded(call, kStatusUnavailable,
-                             Error{ErrorId::kNotServing, "", "the task is being taken over; try again"});
-    }
+    if (!m_membership.HasRecord(adopter)) return RepeatForwarded(call);
     QueryHome(adopter, call);
   });
 }
@@ -364,18 +403,22 @@
   if (found == m_forwarded.end()) return;
   const Forwarded& query = found->second;
   if (home == m_context.self) {
+    // The journal of a home that was taken over may still be on its way.
+    if (!m_tasks.contains(query.task)) return RepeatForwarded(call);
     const Forwarded local = query;
     m_forwarded.erase(found);
-    if (m_tasks.contains(local.task)) {
-      return Query(local.request, local.team, local.task, local.cancel, local.wait_until);
-    }
-    return m_context.effects.Reply(
-        local.request,
-        ErrorResponse(Error{ErrorId::kTaskUnknown, local.task.value(), "no such task"}, Verdict::kNotRun));
+    return Query(local.request, local.team, local.task, local.cancel, local.wait_until);
   }
   const Duration wait = std::max(query.wait_until - m_context.Now(), Duration{0});
   m_hooks.send(home, TaskQuery{call, query.task, query.team, query.cancel, ToMillis(wait)});
-  m_context.After(wait + kForwardMargin, [this, call] {
+  RepeatForwarded(call);
+}
+
+void TaskManager::RepeatForwarded(std::uint64_t call) {
+  m_context.After(kForwardRepeat, [this, call] {
+    const auto found = m_forwarded.find(call);
+    if (found == m_forwarded.end()) return;
+    if (m_context.Now() < found->second.wait_until + kForwardMargin) return FindHome(found->second.task, call);
     AnswerForwarded(call, kStatusUnavailable, Error{ErrorId::kNotServing, "", "the home entry did not answer"});
   });
 }
@@ -426,6 +469,12 @@
   const HomeTask& task = m_tasks.at(waiter.task);
   const bool is_due = task.phase == TaskPhase::kEnded || m_draining || m_context.Now() >= wait_until;
   if (is_due) return AnswerWaiter(waiter);
+  const auto range = m_waiters.equal_range(waiter.task);
+  const bool is_repeated = std::any_of(range.first, range.second, [&waiter](const auto& known) {
+    return known.second.peer == waiter.peer && known.second.call == waiter.call &&
+           known.second.request == waiter.request;
+  });
+  if (is_repeated) return;
   const auto item = m_waiters.emplace(waiter.task, waiter);
   m_context.timers.At(wait_until, [this, waiter = item->second] {
     const auto range = m_waiters.equal_range(waiter.task);
--- a/src/tasks/task_manager.h
+++ b/src/tasks/task_manager.h
@@ -104,6 +104,8 @@
   std::optional<Error> CheckAdmission(std::size_t count) const;
   void Accept(TaskSpec spec, std::uint64_t submission);
   void OnAccepted(const TaskId& task, std::uint64_t submission, CommitOutcome outcome);
+  void JoinFirst(const TaskId& first, const TaskId& repeated, std::uint64_t submission);
+  void CloseJoined(const TaskId& first, const std::optional<Error>& refused);
   void ResolveDuplicate(const TaskId& task, std::uint64_t submission);
   void OnDuplicate(std::uint64_t submission, const TaskId& refused, const std::string& digest, const Row& row);
   void CloseAccept(std::uint64_t submission);
@@ -114,6 +116,7 @@
 
   // Queries.
   void QueryHome(const EntryId& home, std::uint64_t call);
+  void RepeatForwarded(std::uint64_t call);
   void FindHome(const TaskId& task, std::uint64_t call);
   void AddWaiter(Waiter waiter, Time wait_until);
   void AnswerWaiters(const TaskId& task);
@@ -172,6 +175,7 @@
   std::map<std::string, TaskId> m_idempotent;  ///< row key of an idempotency key to the task of this home
   std::map<std::uint64_t, Submission> m_submissions;
   std::map<TaskId, std::set<std::uint64_t>> m_submissions_of;
+  std::map<TaskId, std::vector<std::uint64_t>> m_joined;  ///< submissions that repeat one which is being accepted
   std::multimap<TaskId, Waiter> m_waiters;
   std::map<std::uint64_t, Forwarded> m_forwarded;
   std::map<std::uint64_t, std::function<void(bool)>> m_plan_submissions;
