Spread bursts over owners, answer known outcomes in an outage, and notice a slow store

Cause: store-slow never became isolated, because a renewal whose answer was lost did not count as failed; store-outage let a caller wait for an outcome that was known; one owner got a whole burst of hold requests. Change: a lost answer counts as a failed renewal; outcomes that cannot be recorded are answered; the router debits what it sent; allotments grow no further than the free slots; entries read all records every second while they are few.

--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -14,6 +14,9 @@
 /// Interval of reading the records of all failure domains. The own one is read with each renewal.
 constexpr Duration kFullReadInterval = std::chrono::seconds(5);
 
+/// The same while there are few entries.
+constexpr Duration kSmallFullReadInterval = std::chrono::seconds(1);
+
 /// Owner rows of a failure domain read per renewal interval, so that the read traffic does not grow with the domain.
 constexpr std::int64_t kOwnerRowsPerInterval = 64;
 
@@ -49,7 +52,9 @@
       m_table(m_context),
       m_config(m_context, [this] { OnConfigInstalled(); }),
       m_membership(m_context, m_table, MembershipHooks(std::move(on_lease_lost))),
-      m_allotments(m_context, m_table, m_config, m_membership, [this] { m_executor.Dispatch(); }),
+      m_allotments(
+          m_context, m_table, m_config, m_membership,
+          Allotments::Hooks{[this] { m_executor.Dispatch(); }, [this] { return m_executor.placer().Free().slots; }}),
       m_executor(m_context, m_config, m_membership, m_allotments, ExecutorHooks()),
       m_ownership(m_context, m_table, m_membership, OwnershipHooks()),
       m_router(m_context, m_config, m_membership, m_executor),
@@ -157,7 +162,8 @@
   const std::string own_prefix = std::string(kEntryPrefix) + m_context.settings.domain.value() + ".";
   const std::string prefix = is_full ? std::string(kEntryPrefix) : own_prefix;
   const bool changed = m_membership.OnRows(prefix, RowsWithPrefix(reply.rows, prefix));
-  if (is_full) m_next_full_read = now + kFullReadInterval;
+  const bool is_small = m_membership.peers().size() <= kAllSummaries;
+  if (is_full) m_next_full_read = now + (is_small ? kSmallFullReadInterval : kFullReadInterval);
   if (has_owners) {
     const std::vector<Row> owners = RowsWithPrefix(reply.rows, OwnerPrefix(m_context.settings.domain));
     const std::int64_t intervals = 1 + static_cast<std::int64_t>(owners.size()) / kOwnerRowsPerInterval;
@@ -275,6 +281,9 @@
   const bool has_handed_over = peer != m_membership.peers().end() && summary.domain == m_context.settings.domain &&
                                peer->second.summary.handovers != summary.handovers;
   m_membership.OnSummary(from, summary);
+  m_router.OnSummary(from);
+  // A heartbeat of an entry that joined since the last read.
+  if (peer == m_membership.peers().end()) m_next_full_read = Time();
   if (!has_handed_over) return;
   m_next_owner_read = Time();
   ReadTable();
--- a/src/core/table_client.cc
+++ b/src/core/table_client.cc
@@ -19,12 +19,14 @@
       m_budget(static_cast<double>(context.settings.table_writes_per_second)),
       m_budget_at(context.Now()) {}
 
-void TableClient::Commit(std::vector<Condition> conditions, std::vector<Write> writes, CommitDone done) {
+void TableClient::Commit(std::vector<Condition> conditions, std::vector<Write> writes, CommitDone done,
+                         std::function<void()> on_unknown) {
   Transaction transaction;
   transaction.id = TransactionId(fmt::format("{}/{}", m_context.self.value(), m_next_transaction++));
   transaction.conditions = std::move(conditions);
   transaction.writes = std::move(writes);
-  m_context.effects.Commit(transaction, [this, id = transaction.id, done = std::move(done)](const CommitReply& reply) {
+  m_context.effects.Commit(transaction, [this, id = transaction.id, done = std::move(done),
+                                         on_unknown = std::move(on_unknown)](const CommitReply& reply) {
     m_reachable = reply.status == CommitStatus::kCommitted || reply.status == CommitStatus::kConflict;
     switch (reply.status) {
       case CommitStatus::kCommitted:
@@ -34,14 +36,15 @@
       case CommitStatus::kNotSent:
         return done(CommitOutcome::kUnavailable, 0);
       case CommitStatus::kUnknown:
-        return Resolve(id, kFirstLookupDelay, done);
+        return Resolve(id, kFirstLookupDelay, done, on_unknown);
     }
   });
 }
 
-void TableClient::Resolve(const TransactionId& id, Duration delay, CommitDone done) {
-  m_context.After(delay, [this, id, delay, done = std::move(done)] {
-    m_context.effects.Lookup(id, [this, id, delay, done](const LookupReply& reply) {
+void TableClient::Resolve(const TransactionId& id, Duration delay, CommitDone done, std::function<void()> on_unknown) {
+  if (on_unknown) on_unknown();
+  m_context.After(delay, [this, id, delay, done = std::move(done), on_unknown = std::move(on_unknown)] {
+    m_context.effects.Lookup(id, [this, id, delay, done, on_unknown](const LookupReply& reply) {
       m_reachable = reply.status != LookupStatus::kUnavailable;
       switch (reply.status) {
         case LookupStatus::kCommitted:
@@ -49,7 +52,7 @@
         case LookupStatus::kAbsent:
           return done(CommitOutcome::kUnavailable, 0);
         case LookupStatus::kUnavailable:
-          return Resolve(id, std::min(delay * 2, kMaxLookupDelay), done);
+          return Resolve(id, std::min(delay * 2, kMaxLookupDelay), done, on_unknown);
       }
     });
   });
--- a/src/core/table_client.h
+++ b/src/core/table_client.h
@@ -31,7 +31,9 @@
   explicit TableClient(Context& context);
 
   /// Commits a transaction. When the answer is lost, `done` waits until a lookup tells what happened.
-  void Commit(std::vector<Condition> conditions, std::vector<Write> writes, CommitDone done);
+  /// @param on_unknown called each time that an answer is lost, if set
+  void Commit(std::vector<Condition> conditions, std::vector<Write> writes, CommitDone done,
+              std::function<void()> on_unknown = nullptr);
 
   void Read(ReadRequest request, ReadDone done);
 
@@ -43,7 +45,7 @@
   bool IsReachable() const { return m_reachable; }
 
  private:
-  void Resolve(const TransactionId& id, Duration delay, CommitDone done);
+  void Resolve(const TransactionId& id, Duration delay, CommitDone done, std::function<void()> on_unknown);
 
   Context& m_context;
   std::uint64_t m_next_transaction = 1;
--- a/src/limits/allotments.cc
+++ b/src/limits/allotments.cc
@@ -57,12 +57,8 @@
 }  // namespace
 
 Allotments::Allotments(Context& context, TableClient& table, const ConfigStore& config, const Membership& membership,
-                       std::function<void()> on_raised)
-    : m_context(context),
-      m_table(table),
-      m_config(config),
-      m_membership(membership),
-      m_on_raised(std::move(on_raised)) {}
+                       Hooks hooks)
+    : m_context(context), m_table(table), m_config(config), m_membership(membership), m_hooks(std::move(hooks)) {}
 
 void Allotments::Start() { Prewarm(); }
 
@@ -136,7 +132,7 @@
     request.keys.push_back(RowKey(team));
     m_table.Read(std::move(request), [this, team](const ReadReply& reply) {
       if (reply.available) OnRow(team, reply.rows);
-      m_on_raised();
+      m_hooks.on_raised();
     });
   }
 }
@@ -179,7 +175,7 @@
     state.holders = holders;
   }
   EmitChange(team);
-  m_on_raised();
+  m_hooks.on_raised();
 }
 
 std::int64_t Allotments::BaseAmount(const TeamId& team) const {
@@ -187,6 +183,10 @@
   return Limit(team) / (kBaseDivisor * entries);
 }
 
+std::int64_t Allotments::Useful(const TeamState& state) const {
+  return std::min({state.wanted, state.used + kRaiseStep, m_hooks.free_slots()});
+}
+
 bool Allotments::Raise(const TeamId& team, Holders& holders) {
   TeamState& state = m_teams[team];
   const std::int64_t sum = Sum(holders);
@@ -197,7 +197,7 @@
     holders[m_context.self] = std::max(state.used, own * Limit(team) / sum);
     return holders[m_context.self] != own;
   }
-  const std::int64_t target = std::max(state.used + std::min(state.wanted, state.used + kRaiseStep), BaseAmount(team));
+  const std::int64_t target = std::max(state.used + Useful(state), BaseAmount(team));
   if (target <= own || free == 0) return false;
   holders[m_context.self] = own + std::min(free, target - own);
   return true;
@@ -235,7 +235,7 @@
   Holders holders = state.holders;
   if (!change(holders)) {
     state.adjusting = false;
-    const std::int64_t missing = std::min(state.wanted, state.used + kRaiseStep);
+    const std::int64_t missing = Useful(state);
     state.wanted = 0;
     if (missing > 0) AskHolders(team, missing);
     return;
--- a/src/limits/allotments.h
+++ b/src/limits/allotments.h
@@ -20,9 +20,13 @@
 /// This entry's part of the upper limit of each team. A started task takes one from it until the task has surely ended.
 class Allotments {
  public:
-  /// @param on_raised called after an allotment of this entry was raised
+  struct Hooks {
+    std::function<void()> on_raised;           ///< an allotment of this entry may have been raised
+    std::function<std::int64_t()> free_slots;  ///< slots that this entry could fill
+  };
+
   Allotments(Context& context, TableClient& table, const ConfigStore& config, const Membership& membership,
-             std::function<void()> on_raised);
+             Hooks hooks);
 
   /// Starts the periodic work: a base allotment for each team, and cleaning up after dead entries.
   void Start();
@@ -96,6 +100,7 @@
   void Prewarm();
   std::int64_t Limit(const TeamId& team) const;
   std::int64_t Own(const TeamState& state) const;
+  std::int64_t Useful(const TeamState& state) const;
   std::int64_t BaseAmount(const TeamId& team) const;
   void EmitChange(const TeamId& team);
 
@@ -103,7 +108,7 @@
   TableClient& m_table;
   const ConfigStore& m_config;
   const Membership& m_membership;
-  std::function<void()> m_on_raised;
+  Hooks m_hooks;
   std::map<TeamId, TeamState> m_teams;
   std::map<UpstreamId, Lent> m_lent;
   std::uint64_t m_next_lent = 1;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -61,12 +61,14 @@
   const std::string key = EntryKey(m_context.self);
   std::vector<Write> writes = {{key, Encode(record)}};
   if (m_record_version == 0) writes.push_back({HomeKey(m_context.self), ""});
-  m_table.Commit({{key, m_record_version}}, std::move(writes),
-                 [this, sent_at](CommitOutcome outcome, std::int64_t version) {
-                   m_renewing = false;
-                   if (outcome == CommitOutcome::kConflict && !m_leaving) return m_hooks.on_lease_lost();
-                   OnRenewed(sent_at, outcome == CommitOutcome::kCommitted, version);
-                 });
+  m_table.Commit(
+      {{key, m_record_version}}, std::move(writes),
+      [this, sent_at](CommitOutcome outcome, std::int64_t version) {
+        m_renewing = false;
+        if (outcome == CommitOutcome::kConflict && !m_leaving) return m_hooks.on_lease_lost();
+        OnRenewed(sent_at, outcome == CommitOutcome::kCommitted, version);
+      },
+      [this] { OnRenewalLost(); });
 }
 
 void Membership::OnRenewed(Time sent_at, bool committed, std::int64_t version) {
@@ -81,13 +83,17 @@
     m_context.effects.Emit(event);
     Handle(LifecycleEvent::kStoreBack);
   } else {
-    m_store_lost_until = m_context.Now() + kStoreLostMemory;
-    if (m_record_version != 0 && !IsLeaseValid()) Handle(LifecycleEvent::kStoreLost);
+    OnRenewalLost();
   }
   if (std::exchange(m_renew_again, false)) return Renew();
   ScheduleRenewal();
 }
 
+void Membership::OnRenewalLost() {
+  m_store_lost_until = m_context.Now() + kStoreLostMemory;
+  if (m_record_version != 0 && !IsLeaseValid()) Handle(LifecycleEvent::kStoreLost);
+}
+
 bool Membership::OnRows(const std::string& prefix, const std::vector<Row>& rows) {
   const Time now = m_context.Now();
   bool changed = false;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -21,9 +21,9 @@
 struct Peer {
   EntryRecord record;
   std::int64_t version = 0;
-  Time expires_at;   ///< earliest time at which the record may be expired, if it stays unchanged
+  Time expires_at;           ///< earliest time at which the record may be expired, if it stays unchanged
   bool is_expiring = false;  ///< a transaction that expires the record is open
-  Time heard_until;  ///< end of the time for which the last heartbeat counts
+  Time heard_until;          ///< end of the time for which the last heartbeat counts
   Summary summary;
 };
 
@@ -86,6 +86,7 @@
  private:
   void ScheduleRenewal();
   void OnRenewed(Time sent_at, bool committed, std::int64_t version);
+  void OnRenewalLost();
   bool IsExpiryDue(const EntryId& id, const Peer& peer) const;
   Duration ExpiryDelay(const EntryId& id, const Peer& peer) const;
   void Expire(const EntryId& id, std::int64_t version);
--- a/src/routing/preview_gateway.cc
+++ b/src/routing/preview_gateway.cc
@@ -16,7 +16,8 @@
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTimeout = 504;
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(5);
-/// A second attempt is sent to another owner after this part of the time that is left, and at the latest after the bound.
+/// A second attempt is sent to another owner after this part of the time that is left, and at the latest after the
+/// bound.
 constexpr std::int64_t kHedgeDivisor = 4;
 constexpr Duration kMaxHedgeWait = std::chrono::milliseconds(400);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(100);
@@ -58,6 +59,7 @@
   request.config_version = m_config.config().version;
   if (*owner != m_context.self) {
     const Duration wait = std::min((preview.deadline - m_context.Now()) / kHedgeDivisor, kMaxHedgeWait);
+    m_router.Debit(*owner, preview.spec.demand);
     m_context.After(wait, [this, call, attempt = preview.attempt] { Hedge(call, attempt); });
     return m_context.effects.SendPeer(*owner, request);
   }
--- a/src/routing/preview_gateway.h
+++ b/src/routing/preview_gateway.h
@@ -43,7 +43,7 @@
     TaskSpec spec;
     Time deadline;
     std::int64_t attempt = 0;
-    bool may_have_run = false;  ///< an attempt ended without certainty
+    bool may_have_run = false;             ///< an attempt ended without certainty
     std::set<std::int64_t> open_attempts;  ///< attempts that an owner has not answered yet
     std::set<EntryId> tried;
     Error last_error;
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -12,29 +12,39 @@
 Router::Router(Context& context, const ConfigStore& config, const Membership& membership, const Executor& executor)
     : m_context(context), m_config(config), m_membership(membership), m_executor(executor) {}
 
-bool Router::IsUsable(const TaskSpec& spec, const Summary& summary, bool must_fit) const {
+void Router::Credit(const EntryId& owner, const Resources& demand) {
+  if (owner == m_context.self) m_debits[owner] -= demand;
+}
+
+bool Router::IsUsable(const TaskSpec& spec, const EntryId& id, const Summary& summary, bool must_fit) const {
   if (!summary.serving || m_config.config().domains_out.contains(summary.domain)) return false;
   if (!spec.domain.empty() && spec.domain != summary.domain) return false;
-  return !must_fit || spec.demand.FitsIn(summary.largest_free);
+  if (!must_fit) return true;
+  const auto debit = m_debits.find(id);
+  const Resources free = debit == m_debits.end() ? summary.free : summary.free - debit->second;
+  return spec.demand.FitsIn(summary.largest_free) && spec.demand.FitsIn(free);
 }
 
 std::vector<EntryId> Router::Candidates(const TaskSpec& spec, const std::set<EntryId>& tried, bool must_fit,
                                         bool own_domain_only) const {
   std::vector<EntryId> candidates;
-  const bool is_own_usable = !tried.contains(m_context.self) && IsUsable(spec, m_executor.MakeSummary(), must_fit);
+  const bool is_own_usable =
+      !tried.contains(m_context.self) && IsUsable(spec, m_context.self, m_executor.MakeSummary(), must_fit);
   if (is_own_usable) candidates.push_back(m_context.self);
   for (const auto& [id, peer] : m_membership.peers()) {
     if (tried.contains(id) || !m_membership.IsHeard(id)) continue;
     if (own_domain_only && peer.summary.domain != m_context.settings.domain) continue;
-    if (IsUsable(spec, peer.summary, must_fit)) candidates.push_back(id);
+    if (IsUsable(spec, id, peer.summary, must_fit)) candidates.push_back(id);
   }
   return candidates;
 }
 
 std::int64_t Router::FreeSlots(const EntryId& id) const {
-  if (id == m_context.self) return m_executor.MakeSummary().free.slots;
+  const auto debit = m_debits.find(id);
+  const std::int64_t debited = debit == m_debits.end() ? 0 : debit->second.slots;
+  if (id == m_context.self) return m_executor.MakeSummary().free.slots - debited;
   const auto peer = m_membership.peers().find(id);
-  return peer == m_membership.peers().end() ? 0 : peer->second.summary.free.slots;
+  return peer == m_membership.peers().end() ? 0 : peer->second.summary.free.slots - debited;
 }
 
 std::optional<EntryId> Router::BetterOfTwo(const std::vector<EntryId>& candidates) {
@@ -45,7 +55,8 @@
 }
 
 std::optional<EntryId> Router::ChooseForPreview(const TaskSpec& spec, const std::set<EntryId>& tried) {
-  if (!tried.contains(m_context.self) && IsUsable(spec, m_executor.MakeSummary(), true)) return m_context.self;
+  if (!tried.contains(m_context.self) && IsUsable(spec, m_context.self, m_executor.MakeSummary(), true))
+    return m_context.self;
   for (const bool own_domain_only : {true, false}) {
     const std::optional<EntryId> fitting = BetterOfTwo(Candidates(spec, tried, true, own_domain_only));
     if (fitting) return fitting;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
 
 #include "base/id.h"
+#include "base/resources.h"
 #include "core/context.h"
 #include "model/task_spec.h"
 
@@ -24,13 +26,22 @@
   /// @param tried entries that refused already; they are asked again only when there is no other
   std::optional<EntryId> ChooseForPreview(const TaskSpec& spec, const std::set<EntryId>& tried);
 
+  /// A task was sent to an owner. Until the owner's next summary its free capacity counts as smaller, so that a burst
+  /// of tasks does not all go to the owner that looked best before it.
+  void Debit(const EntryId& owner, const Resources& demand) { m_debits[owner] += demand; }
+
+  /// A task that was sent to this entry itself has been placed or refused.
+  void Credit(const EntryId& owner, const Resources& demand);
+
+  void OnSummary(const EntryId& owner) { m_debits.erase(owner); }
+
   /// Owner for durable work: the less loaded of two entries drawn at random.
   std::optional<EntryId> ChooseForDurable(const TaskSpec& spec, const std::set<EntryId>& tried);
 
  private:
   std::vector<EntryId> Candidates(const TaskSpec& spec, const std::set<EntryId>& tried, bool must_fit,
                                   bool own_domain_only) const;
-  bool IsUsable(const TaskSpec& spec, const Summary& summary, bool must_fit) const;
+  bool IsUsable(const TaskSpec& spec, const EntryId& id, const Summary& summary, bool must_fit) const;
   std::int64_t FreeSlots(const EntryId& id) const;
   std::optional<EntryId> BetterOfTwo(const std::vector<EntryId>& candidates);
 
@@ -38,6 +49,7 @@
   const ConfigStore& m_config;
   const Membership& m_membership;
   const Executor& m_executor;
+  std::map<EntryId, Resources> m_debits;
 };
 
 }  // namespace jaymast
--- a/src/tasks/home_task.h
+++ b/src/tasks/home_task.h
@@ -64,10 +64,14 @@
   std::int64_t backoffs = 0;
   std::int64_t silent_probes = 0;
   bool cancel_requested = false;
-  bool is_claimed = false;  ///< some attempt was claimed, so the task may have run
+  bool is_claimed = false;        ///< some attempt was claimed, so the task may have run
+  bool is_outcome_known = false;  ///< ended, but the store is unreachable and the outcome is not recorded yet
   Time next_probe;
   Time accepted_at;
   TaskEnd end;
+
+  /// Whether callers can be told the outcome.
+  bool HasOutcome() const { return phase == TaskPhase::kEnded || (phase == TaskPhase::kEnding && is_outcome_known); }
 };
 
 }  // namespace jaymast
--- a/src/tasks/task_dispatch.cc
+++ b/src/tasks/task_dispatch.cc
@@ -69,6 +69,7 @@
   ++task.attempt;
   ++m_open_holds;
   task.owner = *owner;
+  m_router.Debit(*owner, task.spec.demand);
   HoldRequest request;
   request.spec = task.spec;
   request.spec.body.clear();
@@ -81,12 +82,17 @@
 void TaskManager::OnHoldTimeout(const AttemptId& id) {
   HomeTask* task = Find(id);
   if (task == nullptr || task->phase != TaskPhase::kHolding) return;
-  --m_open_holds;
+  CloseHold(*task);
   ReleaseHoldOf(*task);
   task->refused_by.insert(task->owner);
   Requeue(*task, "the owner did not answer");
 }
 
+void TaskManager::CloseHold(const HomeTask& task) {
+  --m_open_holds;
+  m_router.Credit(task.owner, task.spec.demand);
+}
+
 void TaskManager::ReleaseHoldOf(const HomeTask& task) {
   m_hooks.send(task.owner, ReleaseHold{AttemptId{task.spec.id, task.attempt}});
 }
@@ -97,7 +103,7 @@
     if (reply.granted) m_hooks.send(from, ReleaseHold{reply.id});
     return;
   }
-  --m_open_holds;
+  CloseHold(*task);
   if (!reply.granted) {
     task->refused_by.insert(from);
     return Requeue(*task, reply.reason);
@@ -179,7 +185,7 @@
 void TaskManager::AbandonGangHolds(const GangId& gang) {
   for (HomeTask* task : GangMembers(gang)) {
     if (task->phase != TaskPhase::kHeld && task->phase != TaskPhase::kHolding) continue;
-    if (task->phase == TaskPhase::kHolding) --m_open_holds;
+    if (task->phase == TaskPhase::kHolding) CloseHold(*task);
     ReleaseHoldOf(*task);
     task->phase = TaskPhase::kQueued;
     // The member that could not be placed enqueues the gang again after its backoff.
@@ -366,7 +372,10 @@
     HomeTask* current = Find(id);
     if (current == nullptr) return;
     if (outcome != CommitOutcome::kCommitted) {
-      // The outcome stays in memory until the store is back.
+      // The outcome stays in memory until the store is back. Callers get it now: the runner keeps it for the next home.
+      current->is_outcome_known = true;
+      AnswerWaiters(id.task);
+      CheckSubmissionsOf(id.task);
       m_context.After(kCommitRetry, [this, id, acknowledge_to] { CommitEnd(id, acknowledge_to); });
       return;
     }
--- a/src/tasks/task_manager.cc
+++ b/src/tasks/task_manager.cc
@@ -53,7 +53,7 @@
 }
 
 Verdict VerdictOf(const HomeTask& task) {
-  if (task.phase == TaskPhase::kEnded) return task.end.verdict;
+  if (task.HasOutcome()) return task.end.verdict;
   return task.is_claimed ? Verdict::kMayHaveRun : Verdict::kNotRun;
 }
 
@@ -274,7 +274,7 @@
   }
   const bool is_waiting = std::any_of(open->second.tasks.begin(), open->second.tasks.end(), [this](const TaskId& id) {
     const auto task = m_tasks.find(id);
-    return task != m_tasks.end() && task->second.phase != TaskPhase::kEnded;
+    return task != m_tasks.end() && !task->second.HasOutcome();
   });
   if (!is_waiting || m_draining || m_context.Now() >= open->second.wait_until) AnswerSubmission(submission, false);
 }
@@ -338,7 +338,7 @@
       continue;
     }
     items += DescribeTask(task->second);
-    if (task->second.phase != TaskPhase::kEnded) response.status = kStatusAccepted;
+    if (!task->second.HasOutcome()) response.status = kStatusAccepted;
     response.verdict = std::min(response.verdict, VerdictOf(task->second));
   }
   response.body = fmt::format("{{\"tasks\":[{}]}}", items);
@@ -346,7 +346,7 @@
 }
 
 std::string TaskManager::DescribeTask(const HomeTask& task) const {
-  const bool has_ended = task.phase == TaskPhase::kEnded;
+  const bool has_ended = task.HasOutcome();
   const bool has_output = has_ended && task.end.state == EndState::kSucceeded;
   const boost::json::object object = {{"id", task.spec.id.value()},
                                       {"team", task.spec.team.value()},
@@ -467,7 +467,7 @@
 
 void TaskManager::AddWaiter(Waiter waiter, Time wait_until) {
   const HomeTask& task = m_tasks.at(waiter.task);
-  const bool is_due = task.phase == TaskPhase::kEnded || m_draining || m_context.Now() >= wait_until;
+  const bool is_due = task.HasOutcome() || m_draining || m_context.Now() >= wait_until;
   if (is_due) return AnswerWaiter(waiter);
   const auto range = m_waiters.equal_range(waiter.task);
   const bool is_repeated = std::any_of(range.first, range.second, [&waiter](const auto& known) {
@@ -499,7 +499,7 @@
 void TaskManager::AnswerWaiter(const Waiter& waiter) {
   const auto task = m_tasks.find(waiter.task);
   if (task == m_tasks.end()) return;
-  const bool has_ended = task->second.phase == TaskPhase::kEnded;
+  const bool has_ended = task->second.HasOutcome();
   const int status = has_ended ? kStatusOk : kStatusAccepted;
   const Verdict verdict = VerdictOf(task->second);
   if (!waiter.peer.empty()) {
--- a/src/tasks/task_manager.h
+++ b/src/tasks/task_manager.h
@@ -138,6 +138,7 @@
   void OnClaimed(const AttemptId& id, CommitOutcome outcome);
   void Requeue(HomeTask& task, const std::string& reason);
   void Enqueue(HomeTask& task);
+  void CloseHold(const HomeTask& task);
   void ReleaseHoldOf(const HomeTask& task);
 
   // Outcomes.
