Keep a base allotment at each entry and retry previews beside an open attempt

Change: allotments start at an even split with one part left in the pool; a refusal is retried while another attempt is open; an entry without usable upstreams does not announce itself as serving.

--- a/src/limits/allotments.cc
+++ b/src/limits/allotments.cc
@@ -16,9 +16,6 @@
 /// Time between two requests to other holders for the same team.
 constexpr Duration kRequestInterval = std::chrono::milliseconds(200);
 
-/// A base allotment is this part of an even split, so that entries without demand leave most of the limit free.
-constexpr std::int64_t kBaseDivisor = 4;
-
 constexpr Duration kSettleRetryInterval = std::chrono::seconds(1);
 
 /// A raise at most doubles the use and adds this many, so that repeated refusals of one task do not take the whole
@@ -180,7 +177,8 @@
 
 std::int64_t Allotments::BaseAmount(const TeamId& team) const {
   const auto entries = static_cast<std::int64_t>(m_membership.peers().size()) + 1;
-  return Limit(team) / (kBaseDivisor * entries);
+  // An even split, with one part left in the pool for bursts. A cut-off entry has to get by with its part.
+  return Limit(team) / (entries + 1);
 }
 
 std::int64_t Allotments::Useful(const TeamState& state) const {
@@ -197,7 +195,8 @@
     holders[m_context.self] = std::max(state.used, own * Limit(team) / sum);
     return holders[m_context.self] != own;
   }
-  const std::int64_t target = std::max(state.used + Useful(state), BaseAmount(team));
+  const std::int64_t base = BaseAmount(team);
+  const std::int64_t target = std::max({state.used + Useful(state), base, state.used + base / 2});
   if (target <= own || free == 0) return false;
   holders[m_context.self] = own + std::min(free, target - own);
   return true;
@@ -313,7 +312,9 @@
   if (next == teams.end()) next = teams.begin();
   if (next != teams.end()) {
     m_prewarmed = next->first;
-    const bool needs_base = Allowed(m_prewarmed) < BaseAmount(m_prewarmed) && m_membership.IsLeaseValid();
+    const std::int64_t base = BaseAmount(m_prewarmed);
+    const std::int64_t wanted = std::max(base, Used(m_prewarmed) + base / 2);
+    const bool needs_base = Allowed(m_prewarmed) < wanted && m_membership.IsLeaseValid();
     if (needs_base) Adjust(m_prewarmed);
   }
   m_context.After(kPrewarmInterval, [this] { Prewarm(); });
--- a/src/routing/preview_gateway.cc
+++ b/src/routing/preview_gateway.cc
@@ -75,8 +75,6 @@
   preview.last_error = Error{reply.error, "", reply.reason};
   if (reply.verdict != Verdict::kRan) {
     preview.may_have_run = preview.may_have_run || reply.verdict == Verdict::kMayHaveRun;
-    // Another attempt may still bring the answer.
-    if (!preview.open_attempts.empty()) return;
     return Retry(reply.call);
   }
   Response response;
@@ -105,7 +103,11 @@
   const auto doublings = std::min<std::int64_t>(preview.attempt, 5);
   const Duration backoff = m_context.Jittered(std::min(kFirstBackoff * (1 << doublings), kMaxBackoff));
   if (now + backoff >= preview.deadline) return;  // The deadline timer answers.
-  if (!m_budget.TryRetry(now)) return Fail(call, kStatusUnavailable, preview.last_error);
+  if (!m_budget.TryRetry(now)) {
+    // Another attempt may still bring the answer.
+    if (preview.open_attempts.empty()) Fail(call, kStatusUnavailable, preview.last_error);
+    return;
+  }
   Event event;
   event.kind = EventKind::kTaskRetried;
   event.task = preview.spec.id;
--- a/src/upstream/executor.cc
+++ b/src/upstream/executor.cc
@@ -378,7 +378,7 @@
 Summary Executor::MakeSummary() const {
   Summary summary;
   summary.domain = m_context.settings.domain;
-  summary.serving = m_membership.MayStart() && !m_config.config().domains_out.contains(m_context.settings.domain);
+  summary.serving = m_membership.MayStart() && HasUsableUpstream();
   summary.free = m_placer.Free();
   summary.largest_free = m_placer.LargestFree();
   summary.config_version = m_config.config().version;
