--- a/src/core/entry_settings.h
+++ b/src/core/entry_settings.h
@@ -21,15 +21,18 @@
   Duration lease_duration = std::chrono::seconds(3);
   Duration drift_bound = std::chrono::milliseconds(500);
   Duration summary_interval = std::chrono::seconds(1);
-  Duration peer_silence = std::chrono::seconds(3);  ///< a silent peer gets no requests
+  Duration peer_silence = std::chrono::milliseconds(2500);  ///< a silent peer gets no requests
   Duration journal_interval = std::chrono::milliseconds(20);
   Duration hold_duration = std::chrono::seconds(2);
-  Duration task_lease = std::chrono::seconds(5);
+  /// Longer than a takeover after a crash, so that the tasks of a dead owner go on.
+  Duration task_lease = std::chrono::seconds(10);
   Duration upstream_call_timeout = std::chrono::seconds(2);
   Duration upstream_renew_interval = std::chrono::seconds(1);
   Duration handover_interval = std::chrono::seconds(1);
   Duration domain_return_ramp = std::chrono::seconds(30);  ///< starts are rate limited after a domain comes back
 
+  Duration drain_wait = std::chrono::seconds(20);  ///< how long a planned stop waits for callers that wait for outcomes
+
   std::int64_t table_writes_per_second = 40;  ///< this entry's part of the write budget of the table service
   std::int64_t max_queued_tasks = 20'000;
   std::int64_t max_open_requests = 10'000;
--- a/src/tasks/task_manager.h
+++ b/src/tasks/task_manager.h
@@ -53,7 +53,13 @@
   /// Takes in the rows of a read of the prefix `adopt/`.
   void OnAdoptRows(const std::vector<Row>& rows);
 
-  /// Stops accepting tasks and asking for holds, and answers all waiting callers, for a planned stop.
+  /// Begins a planned stop: no new tasks are accepted, and those of waiting callers go on.
+  void StopAccepting() { m_closed = true; }
+
+  /// Whether callers wait for outcomes.
+  bool HasWaiters() const { return !m_waiters.empty() || !m_submissions.empty(); }
+
+  /// Stops asking for holds, and answers all waiting callers with the state of their tasks.
   void Drain();
 
   /// Whether no write is open and no owner was asked for a hold.
@@ -73,7 +79,7 @@
     std::map<TaskId, Error> refused;
     std::size_t open_accepts = 0;
     Time wait_until;
-    bool may_have_run = false;
+    Time accept_by;  ///< latest answer when the acceptance is not confirmed
   };
 
   /// A caller, or another entry on behalf of a caller, that waits for one task.
@@ -98,6 +104,8 @@
   std::optional<Error> CheckAdmission(std::size_t count) const;
   void Accept(TaskSpec spec, std::uint64_t submission);
   void OnAccepted(const TaskId& task, std::uint64_t submission, CommitOutcome outcome);
+  void JoinFirst(const TaskId& first, const TaskId& repeated, std::uint64_t submission);
+  void CloseJoined(const TaskId& first, const std::optional<Error>& refused);
   void ResolveDuplicate(const TaskId& task, std::uint64_t submission);
   void OnDuplicate(std::uint64_t submission, const TaskId& refused, const std::string& digest, const Row& row);
   void CloseAccept(std::uint64_t submission);
@@ -108,6 +116,7 @@
 
   // Queries.
   void QueryHome(const EntryId& home, std::uint64_t call);
+  void RepeatForwarded(std::uint64_t call);
   void FindHome(const TaskId& task, std::uint64_t call);
   void AddWaiter(Waiter waiter, Time wait_until);
   void AnswerWaiters(const TaskId& task);
@@ -166,6 +175,7 @@
   std::map<std::string, TaskId> m_idempotent;  ///< row key of an idempotency key to the task of this home
   std::map<std::uint64_t, Submission> m_submissions;
   std::map<TaskId, std::set<std::uint64_t>> m_submissions_of;
+  std::map<TaskId, std::vector<std::uint64_t>> m_joined;  ///< submissions that repeat one which is being accepted
   std::multimap<TaskId, Waiter> m_waiters;
   std::map<std::uint64_t, Forwarded> m_forwarded;
   std::map<std::uint64_t, std::function<void(bool)>> m_plan_submissions;
@@ -176,7 +186,8 @@
   std::uint64_t m_next_gang = 1;
   std::uint64_t m_next_call = 1;
   std::size_t m_open_holds = 0;
-  bool m_draining = false;
+  bool m_closed = false;    ///< accepts no tasks
+  bool m_draining = false;  ///< asks for no holds
 };
 
 }  // namespace jaymast
