Answer every open request, keep one renewal timer, and never move at-most-once tasks

Change: open requests are registered and answered when a node is replaced; owners ignore checkpoint orders for at-most-once tasks; a gang is dispatched again when a running member ends; a renewal out of turn replaces the timer.

--- a/src/configuration/operations.cc
+++ b/src/configuration/operations.cc
@@ -298,13 +298,4 @@
   m_context.effects.Reply(waiting.request, response);
 }
 
-void Operations::AbandonAll() {
-  for (const auto& [request, waiting] : m_waiting) {
-    Fail(request, kStatusUnavailable,
-         Error{ErrorId::kNotServing, "", "this entry lost its lease; look at the configuration version"},
-         Verdict::kMayHaveRun);
-  }
-  m_waiting.clear();
-}
-
 }  // namespace jaymast
--- a/src/configuration/operations.h
+++ b/src/configuration/operations.h
@@ -49,7 +49,6 @@
   std::vector<EntryId> NotInForce(const std::vector<Row>& rows, std::int64_t version) const;
 
   bool IsIdle() const { return m_open_plans == 0 && m_waiting.empty(); }
-  void AbandonAll();
 
  private:
   struct WaitingConfirm {
--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -11,6 +11,8 @@
 namespace jaymast {
 namespace {
 
+constexpr int kStatusUnavailable = 503;
+
 /// Interval of reading the records of all failure domains. The own one is read with each renewal.
 constexpr Duration kFullReadInterval = std::chrono::seconds(5);
 
@@ -317,14 +319,20 @@
 void EntryNode::OnTick() { m_timers.Run(m_context.Now()); }
 
 void EntryNode::OnRequestGone(RequestId id) {
+  m_effects.Close(id);
   m_previews.OnRequestGone(id);
   m_tasks.OnRequestGone(id);
 }
 
 void EntryNode::AbandonAll() {
   m_previews.AbandonAll();
-  m_tasks.AbandonAll();
-  m_operations.AbandonAll();
+  Response response;
+  response.status = kStatusUnavailable;
+  response.verdict = Verdict::kMayHaveRun;
+  response.error =
+      Error{ErrorId::kNotServing, "", "this entry lost its lease; ask again with the task id or the same key"};
+  const std::set<RequestId> open = m_effects.open();
+  for (const RequestId id : open) m_effects.Reply(id, response);
 }
 
 bool EntryNode::IsServing() const {
--- a/src/core/entry_node.h
+++ b/src/core/entry_node.h
@@ -89,6 +89,7 @@
   std::optional<Principal> Authenticate(RequestId id, const std::string& secret, Role role);
   std::optional<Error> AdmitSpec(const Principal& principal, TaskSpec& spec) const;
   void Refuse(RequestId id, int status, Error error);
+  void AnswerLate(RequestId id);
   void Serve(RequestId id, const PreviewRequest& request);
   void Serve(RequestId id, const SubmitRequest& request);
   void Serve(RequestId id, const TaskStatusRequest& request);
--- a/src/core/entry_requests.cc
+++ b/src/core/entry_requests.cc
@@ -1,6 +1,7 @@
 // Requests of callers and operators: authentication, admission and dispatch to the slices.
 #include <fmt/format.h>
 
+#include <chrono>
 #include <utility>
 
 #include "core/entry_node.h"
@@ -15,6 +16,10 @@
 constexpr int kStatusForbidden = 403;
 constexpr int kStatusUnprocessable = 422;
 constexpr int kStatusUnavailable = 503;
+constexpr int kStatusTimeout = 504;
+
+/// A plan or confirmation whose write stays unresolved is answered after this time.
+constexpr Duration kOperatorTimeout = std::chrono::seconds(10);
 
 int StatusOf(ErrorId id) {
   switch (id) {
@@ -41,6 +46,7 @@
 };
 
 void EntryNode::OnRequest(RequestId id, const Request& request) {
+  m_effects.Open(id);
   if (!m_config.IsLoaded() || IsStopped()) {
     return Refuse(id, kStatusUnavailable, Error{ErrorId::kNotServing, "", "this entry does not serve yet"});
   }
@@ -142,8 +148,19 @@
   m_tasks.Query(id, team, request.task, true, m_context.Now());
 }
 
+void EntryNode::AnswerLate(RequestId id) {
+  m_context.After(kOperatorTimeout, [this, id] {
+    Response response;
+    response.status = kStatusTimeout;
+    response.verdict = Verdict::kMayHaveRun;
+    response.error = Error{ErrorId::kOutcomeUnknown, "", "the store has not confirmed the change; look at the version"};
+    m_effects.Reply(id, response);
+  });
+}
+
 void EntryNode::Serve(RequestId id, const PlanRequest& request) {
   if (!Authenticate(id, request.secret, Role::kOperator)) return;
+  AnswerLate(id);
   if (!IsServing()) {
     return Refuse(id, kStatusUnavailable, Error{ErrorId::kNotServing, "", "this entry does not take new work"});
   }
@@ -152,6 +169,7 @@
 
 void EntryNode::Serve(RequestId id, const ConfirmRequest& request) {
   if (!Authenticate(id, request.secret, Role::kOperator)) return;
+  AnswerLate(id);
   if (!IsServing()) {
     return Refuse(id, kStatusUnavailable, Error{ErrorId::kNotServing, "", "this entry does not take new work"});
   }
--- a/src/core/guarded_effects.h
+++ b/src/core/guarded_effects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -34,9 +35,17 @@
                     Time deadline, UpstreamCallback done) override {
     m_effects.CallUpstream(upstream, address, request, deadline, Guard<UpstreamReply>(std::move(done)));
   }
-  /// Answers a request and records the answer. Request 0 stands for the entry itself and gets no answer.
+  /// Registers a request that must be answered.
+  void Open(RequestId request) { m_open.insert(request); }
+
+  /// The caller went away, so the request needs no answer.
+  void Close(RequestId request) { m_open.erase(request); }
+
+  const std::set<RequestId>& open() const { return m_open; }
+
+  /// Answers an open request and records the answer. A second answer is dropped.
   void Reply(RequestId request, const Response& response) override {
-    if (request == 0) return;
+    if (m_open.erase(request) == 0) return;
     Event event;
     event.kind = EventKind::kReplySent;
     event.request = request;
@@ -65,6 +74,7 @@
 
   Effects& m_effects;
   std::string m_process;
+  std::set<RequestId> m_open;
   std::shared_ptr<bool> m_alive;
 };
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -40,7 +40,10 @@
 }
 
 void Membership::ScheduleRenewal() {
-  m_context.After(m_context.settings.renew_interval, [this] { Renew(); });
+  // A renewal out of turn replaces the timer, so that there is always one.
+  m_context.After(m_context.settings.renew_interval, [this, timer = ++m_renewal_timer] {
+    if (timer == m_renewal_timer) Renew();
+  });
 }
 
 void Membership::Renew() {
@@ -50,6 +53,7 @@
     return;
   }
   m_renewing = true;
+  ++m_renewal_timer;
   EntryRecord record;
   record.domain = m_context.settings.domain;
   record.peer_address = m_context.settings.peer_address;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -103,7 +103,8 @@
   std::int64_t m_renewals = 0;
   std::int64_t m_config_version = 0;
   Time m_lease_deadline;
-  Time m_store_lost_until;  ///< until then a failed renewal proves that the store is unreachable
+  Time m_store_lost_until;            ///< until then a failed renewal proves that the store is unreachable
+  std::uint64_t m_renewal_timer = 0;  ///< number of the timer that may start the next renewal
   bool m_renewing = false;
   bool m_renew_again = false;
   bool m_leaving = false;
--- a/src/tasks/task_dispatch.cc
+++ b/src/tasks/task_dispatch.cc
@@ -182,6 +182,14 @@
   }
 }
 
+void TaskManager::OnGangMemberEnded(const GangId& gang) {
+  CheckGang(gang);
+  // Members that wait to be started again could not go on while this one ran.
+  for (HomeTask* task : GangMembers(gang)) {
+    if (task->phase == TaskPhase::kQueued) return Enqueue(*task);
+  }
+}
+
 void TaskManager::AbandonGangHolds(const GangId& gang) {
   for (HomeTask* task : GangMembers(gang)) {
     if (task->phase != TaskPhase::kHeld && task->phase != TaskPhase::kHolding) continue;
@@ -386,7 +394,7 @@
     CheckSubmissionsOf(id.task);
     const GangId gang = current->spec.gang;
     Retain(id.task);
-    if (!gang.empty()) CheckGang(gang);
+    if (!gang.empty()) OnGangMemberEnded(gang);
   });
 }
 
--- a/src/tasks/task_manager.cc
+++ b/src/tasks/task_manager.cc
@@ -21,6 +21,7 @@
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusConflict = 409;
 constexpr int kStatusUnavailable = 503;
+constexpr int kStatusTimeout = 504;
 constexpr Duration kProbeSweep = std::chrono::seconds(1);
 constexpr Duration kFirstProbe = std::chrono::seconds(3);
 
@@ -39,6 +40,8 @@
       return kStatusNotFound;
     case ErrorId::kIdempotencyMismatch:
       return kStatusConflict;
+    case ErrorId::kOutcomeUnknown:
+      return kStatusTimeout;
     default:
       return kStatusUnavailable;
   }
@@ -537,21 +540,6 @@
   return m_journal.IsIdle() && m_open_holds == 0 && m_submissions.empty() && m_forwarded.empty();
 }
 
-void TaskManager::AbandonAll() {
-  const Error error{ErrorId::kNotServing, "", "this entry lost its lease; ask again with the task id or the same key"};
-  const Response response = ErrorResponse(error, Verdict::kMayHaveRun);
-  for (const auto& [call, submission] : m_submissions) {
-    if (submission.request != 0) m_context.effects.Reply(submission.request, response);
-  }
-  for (const auto& [task, waiter] : m_waiters) {
-    if (waiter.peer.empty()) m_context.effects.Reply(waiter.request, response);
-  }
-  for (const auto& [call, query] : m_forwarded) m_context.effects.Reply(query.request, response);
-  m_submissions.clear();
-  m_waiters.clear();
-  m_forwarded.clear();
-}
-
 HomeTask* TaskManager::Find(const AttemptId& id) {
   const auto found = m_tasks.find(id.task);
   if (found == m_tasks.end() || found->second.attempt != id.attempt) return nullptr;
--- a/src/tasks/task_manager.h
+++ b/src/tasks/task_manager.h
@@ -65,9 +65,6 @@
   /// Whether no write is open and no owner was asked for a hold.
   bool IsQuiet() const;
 
-  /// Answers all waiting callers: this entry starts over with a new id.
-  void AbandonAll();
-
   std::size_t queued() const { return m_queue.size(); }
   const std::map<TaskId, HomeTask>& tasks() const { return m_tasks; }
 
@@ -132,6 +129,7 @@
   void DispatchGang(const TaskId& member);
   std::vector<HomeTask*> GangMembers(const GangId& gang);
   void CheckGang(const GangId& gang);
+  void OnGangMemberEnded(const GangId& gang);
   void AbandonGangHolds(const GangId& gang);
   void StopGang(const HomeTask& lost);
   void Claim(HomeTask& task);
--- a/src/upstream/executor_reports.cc
+++ b/src/upstream/executor_reports.cc
@@ -346,6 +346,8 @@
 }
 
 void Executor::RequestStop(const AttemptId& id, OwnedTask& task, StopMode mode) {
+  // A resumed task would be a second start.
+  if (mode == StopMode::kCheckpoint && task.spec.semantics == Semantics::kAtMostOnce) return;
   task.stop_requested = true;
   task.stop_mode = mode;
   if (task.phase == OwnedPhase::kRunning) CallStop(id, task);
@@ -367,8 +369,7 @@
   for (auto& [id, task] : m_tasks) {
     const auto upstream = m_upstreams.find(task.upstream);
     if (upstream == m_upstreams.end() || !IsOut(upstream->second.info)) continue;
-    // At-most-once tasks may not be started again, so they finish where they are.
-    const bool is_movable = !task.is_preview && task.spec.semantics != Semantics::kAtMostOnce && IsActive(task);
+    const bool is_movable = !task.is_preview && IsActive(task);
     if (is_movable && !task.stop_requested) RequestStop(id, task, StopMode::kCheckpoint);
   }
 }
