--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -49,8 +49,13 @@
 template <typename Stream>
 class Connection : public HttpClientConnection, public std::enable_shared_from_this<Connection<Stream>> {
  public:
-  Connection(std::shared_ptr<HttpClientHost> host, Stream stream, std::shared_ptr<boost::asio::ssl::context> context)
-      : m_host(std::move(host)), m_tls_context(std::move(context)), m_stream(std::move(stream)) {}
+  Connection(const std::shared_ptr<HttpClientHost>& host, Stream stream,
+             std::shared_ptr<boost::asio::ssl::context> context)
+      : m_host(host),
+        m_address(host->address()),
+        m_max_response_bytes(host->options().max_response_bytes),
+        m_tls_context(std::move(context)),
+        m_stream(std::move(stream)) {}
 
   void Connect(const boost::asio::ip::tcp::endpoint& endpoint) override {
     Lowest().expires_after(kConnectTimeout);
@@ -64,7 +69,7 @@
 
   void Send(const std::shared_ptr<PendingRequest>& pending) override {
     pending->connection = this->weak_from_this();
-    m_request = ToMessage(std::move(pending->request), m_host->address());
+    m_request = ToMessage(std::move(pending->request), m_address);
     // The timer of the request covers reading and writing.
     Lowest().expires_never();
     http::async_write(m_stream, m_request, [self = Self(), pending](ErrorCode ec, std::size_t size) {
@@ -77,7 +82,7 @@
     if (m_is_closed) return;
     m_is_closed = true;
     Lowest().close();
-    m_host->OnClosed();
+    if (const auto host = m_host.lock()) host->OnClosed();
   }
 
   bool IsStale() override {
@@ -110,17 +115,17 @@
 
   void FinishConnect() {
     m_idle_since = std::chrono::steady_clock::now();
-    m_host->OnConnected(Self());
+    if (const auto host = m_host.lock()) host->OnConnected(Self());
   }
 
   void FailConnect(ErrorCode ec) {
-    m_host->OnConnectFailed("cannot connect to " + m_host->address() + ": " + ec.message());
+    if (const auto host = m_host.lock()) host->OnConnectFailed("cannot connect to " + m_address + ": " + ec.message());
     Close();
   }
 
   void Read(const std::shared_ptr<PendingRequest>& pending) {
     m_parser.emplace();
-    m_parser->body_limit(m_host->options().max_response_bytes);
+    m_parser->body_limit(m_max_response_bytes);
     http::async_read(m_stream, m_buffer, *m_parser, [self = Self(), pending](ErrorCode ec, std::size_t) {
       if (ec) return self->Fail(*pending, ec, false);
       self->Finish(*pending);
@@ -137,21 +142,25 @@
     } else {
       Close();
     }
-    m_host->Complete(pending, std::move(result));
+    if (const auto host = m_host.lock()) host->Complete(pending, std::move(result));
   }
 
   void Fail(PendingRequest& pending, ErrorCode ec, bool nothing_sent) {
     const SendStatus status = nothing_sent ? SendStatus::kNotSent : SendStatus::kUnknown;
-    m_host->Complete(pending, HttpResult{status, {}, m_host->address() + ": " + ec.message()});
+    if (const auto host = m_host.lock())
+      host->Complete(pending, HttpResult{status, {}, m_address + ": " + ec.message()});
     Close();
   }
 
   void BecomeIdle() {
     m_idle_since = std::chrono::steady_clock::now();
-    m_host->OnIdle(Self());
+    if (const auto host = m_host.lock()) host->OnIdle(Self());
   }
 
-  const std::shared_ptr<HttpClientHost> m_host;
+  // The host owns its idle connections. A request in flight keeps the host alive by its timer.
+  const std::weak_ptr<HttpClientHost> m_host;
+  const std::string m_address;
+  const std::size_t m_max_response_bytes;
   const std::shared_ptr<boost::asio::ssl::context> m_tls_context;
   Stream m_stream;
   boost::beast::flat_buffer m_buffer;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -45,14 +45,12 @@
       : m_shared(std::move(shared)), m_pause(m_shared->acceptor.get_executor()) {}
 
   void Accept() {
-    auto& context = m_shared->pool.Context(m_next++);
-    m_shared->acceptor.async_accept(
-        context, [self = shared_from_this(), &context](boost::system::error_code ec, Tcp::socket socket) {
-          if (!ec) self->Serve(context, std::move(socket));
-          if (self->m_shared->is_shutting_down) return self->Drain();
-          if (ec) return self->AcceptLater();
-          self->Accept();
-        });
+    m_shared->acceptor.async_accept([self = shared_from_this()](boost::system::error_code ec, Tcp::socket socket) {
+      if (!ec) self->Serve(std::move(socket));
+      if (self->m_shared->is_shutting_down) return self->Drain();
+      if (ec) return self->AcceptLater();
+      self->Accept();
+    });
   }
 
  private:
@@ -70,21 +68,22 @@
     boost::system::error_code ec;
     m_shared->acceptor.non_blocking(true, ec);
     while (!ec) {
-      auto& context = m_shared->pool.Context(m_next++);
-      Tcp::socket socket = m_shared->acceptor.accept(context, ec);
-      if (!ec) Serve(context, std::move(socket));
+      Tcp::socket socket = m_shared->acceptor.accept(ec);
+      if (!ec) Serve(std::move(socket));
     }
     m_shared->acceptor.close(ec);
   }
 
-  void Serve(boost::asio::io_context& context, Tcp::socket socket) {
+  void Serve(Tcp::socket socket) {
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     if (IsFull()) {
       ++m_shared->refused;
       return RefuseConnection(std::move(socket));
     }
-    tcp_stream stream(std::move(socket));
+    auto& context = m_shared->pool.Context(m_next++);
+    const auto protocol = socket.local_endpoint(ignored).protocol();
+    tcp_stream stream(Tcp::socket(context, protocol, socket.release()));
     if (m_shared->options.tls) {
       Start(context, TlsStream(std::move(stream), m_shared->options.tls->Current()));
     } else {
@@ -131,9 +130,14 @@
 
 HttpServer::~HttpServer() {
   BeginShutdown();
+  m_shared->pool.RunAndWait(0, [this] {
+    boost::system::error_code ignored;
+    m_shared->acceptor.close(ignored);
+  });
   std::map<HttpConnection*, std::shared_ptr<HttpConnection>> connections;
   {
     const std::lock_guard lock(m_shared->mutex);
+    m_shared->is_destroyed = true;
     connections.swap(m_shared->connections);
   }
   for (const auto& [key, connection] : connections) connection->Abort();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -39,7 +39,7 @@
   /// @return the server, or an error with the address when it cannot be used
   static Result<std::unique_ptr<HttpServer>> Listen(IoPool& pool, HttpServerOptions options, Handler handler);
 
-  /// Stops to accept. Connections that are open stay usable until the pool stops.
+  /// Stops to accept and closes all connections. Must not be called from a thread of the pool.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -37,6 +37,7 @@
 
   void Add(const std::shared_ptr<HttpConnection>& connection) {
     const std::lock_guard lock(mutex);
+    if (is_destroyed) return connection->Abort();
     connections.emplace(connection.get(), connection);
     if (is_shutting_down) connection->Finish();
   }
@@ -54,7 +55,8 @@
   std::atomic<bool> is_shutting_down = false;
   std::atomic<std::uint64_t> refused = 0;
 
-  std::mutex mutex;  ///< guards connections
+  std::mutex mutex;           ///< guards the members below
+  bool is_destroyed = false;  ///< the server is gone, so new connections are closed
   std::condition_variable all_closed;
   std::map<HttpConnection*, std::shared_ptr<HttpConnection>> connections;
 };
--- a/src/net/io_pool.cc
+++ b/src/net/io_pool.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
 #include <thread>
 
 namespace jaymast {
@@ -18,13 +20,28 @@
   for (const auto& worker : m_workers) worker->thread = std::thread([&context = worker->context] { context.run(); });
 }
 
-IoPool::~IoPool() { Stop(); }
+IoPool::~IoPool() {
+  Stop();
+  // Acceptors belong to the first context, and connections of other contexts refer to them.
+  while (!m_workers.empty()) m_workers.pop_back();
+}
 
 std::size_t IoPool::size() const { return m_workers.size(); }
 
 boost::asio::io_context& IoPool::Context(std::size_t index) { return m_workers[index % m_workers.size()]->context; }
 
+void IoPool::RunAndWait(std::size_t index, const std::function<void()>& function) {
+  if (m_is_stopped) return function();
+  std::promise<void> done;
+  boost::asio::post(Context(index), [&function, &done] {
+    function();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 void IoPool::Stop() {
+  m_is_stopped = true;
   for (const auto& worker : m_workers) worker->context.stop();
   for (const auto& worker : m_workers) {
     if (worker->thread.joinable()) worker->thread.join();
--- a/src/net/io_pool.h
+++ b/src/net/io_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -26,12 +27,17 @@
   /// The io_context of the thread with number `index` modulo size().
   boost::asio::io_context& Context(std::size_t index);
 
+  /// Calls a function on the thread with number `index` modulo size() and waits for it. Calls it directly when the pool
+  /// is stopped. Must not be called from a thread of the pool.
+  void RunAndWait(std::size_t index, const std::function<void()>& function);
+
   /// Abandons all work and joins the threads. Handlers that did not run are destroyed with the pool.
   void Stop();
 
  private:
   struct Worker;
   std::vector<std::unique_ptr<Worker>> m_workers;
+  bool m_is_stopped = false;
 };
 
 }  // namespace jaymast
--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -102,13 +102,13 @@
   if (!ec) state->acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
   if (ec) return Error{ErrorId::kInputField, address, "cannot listen: " + ec.message()};
   boost::asio::post(context, [state] { state->Accept(); });
-  return std::unique_ptr<PeerLinks>(new PeerLinks(std::move(state)));
+  return std::unique_ptr<PeerLinks>(new PeerLinks(pool, std::move(state)));
 }
 
-PeerLinks::PeerLinks(std::shared_ptr<PeerLinksState> state) : m_state(std::move(state)) {}
+PeerLinks::PeerLinks(IoPool& pool, std::shared_ptr<PeerLinksState> state) : m_pool(pool), m_state(std::move(state)) {}
 
 PeerLinks::~PeerLinks() {
-  boost::asio::post(m_state->context, [state = m_state] { state->Stop(); });
+  m_pool.RunAndWait(m_pool.size() - 1, [this] { m_state->Stop(); });
 }
 
 std::string PeerLinks::address() const {
--- a/src/net/peer_links.h
+++ b/src/net/peer_links.h
@@ -50,6 +50,8 @@
   /// @return the links, or an error with the address when it cannot be used
   static Result<std::unique_ptr<PeerLinks>> Listen(IoPool& pool, PeerLinksOptions options, EntryId local,
                                                    Receiver receiver);
+
+  /// Closes all links. Must not be called from a thread of the pool.
   ~PeerLinks();
   PeerLinks(const PeerLinks&) = delete;
   PeerLinks& operator=(const PeerLinks&) = delete;
@@ -70,8 +72,9 @@
   Counters counters() const;
 
  private:
-  explicit PeerLinks(std::shared_ptr<PeerLinksState> state);
+  PeerLinks(IoPool& pool, std::shared_ptr<PeerLinksState> state);
 
+  IoPool& m_pool;
   std::shared_ptr<PeerLinksState> m_state;
 };
 
--- /dev/null
+++ b/src/runtime/process_clock.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+
+#include "base/time.h"
+
+namespace jaymast {
+
+/// Clock of the process. It starts at the wall clock, so that event logs of several processes can be merged, and then
+/// follows the steady clock, so that it never goes back.
+class ProcessClock {
+ public:
+  ProcessClock() : m_offset(WallMicros() - SteadyMicros()) {}
+
+  Time Now() const { return Time(SteadyMicros() + m_offset); }
+
+  /// The same point in time on the steady clock, for timers.
+  std::chrono::steady_clock::time_point ToSteady(Time time) const {
+    return std::chrono::steady_clock::time_point(time.time_since_epoch() - m_offset);
+  }
+
+ private:
+  static Duration SteadyMicros() {
+    return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch());
+  }
+  static Duration WallMicros() {
+    return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+  }
+
+  const Duration m_offset;
+};
+
+}  // namespace jaymast
