--- /dev/null
+++ b/src/runtime/http_runner.cc
@@ -0,0 +1,46 @@
+#include "runtime/http_runner.h"
+
+#include <fmt/format.h>
+
+#include <string>
+#include <utility>
+
+#include "base/verdict.h"
+#include "model/runner_codec.h"
+
+namespace jaymast {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusConflict = 409;
+
+UpstreamReply WithoutAnswer(CallStatus status, std::string reason) {
+  UpstreamReply reply;
+  reply.status = status;
+  reply.reason = std::move(reason);
+  return reply;
+}
+
+}  // namespace
+
+HttpRequest RunnerHttpRequest(const UpstreamRequest& request) {
+  HttpCall call = EncodeUpstreamRequest(request);
+  return HttpRequest{std::move(call.method), std::move(call.target), {}, std::move(call.body)};
+}
+
+UpstreamReply UpstreamReplyOf(const HttpResult& result) {
+  if (result.status == SendStatus::kNotSent) return WithoutAnswer(CallStatus::kNotSent, result.reason);
+  if (result.status == SendStatus::kUnknown) return WithoutAnswer(CallStatus::kUnknown, result.reason);
+  const HttpResponse& response = result.response;
+  if (response.status != kStatusOk && response.status != kStatusConflict) {
+    // A refusal by the HTTP server of the runner says whether the request can have reached the runner.
+    const bool is_not_run = FindHeader(response.headers, "Jaymast-Verdict") == ToString(Verdict::kNotRun);
+    const std::string reason = fmt::format("HTTP status {}", response.status);
+    return WithoutAnswer(is_not_run ? CallStatus::kNotSent : CallStatus::kUnknown, reason);
+  }
+  Result<UpstreamReply> reply = DecodeUpstreamReply(response.body);
+  if (reply) return std::move(*reply);
+  return WithoutAnswer(CallStatus::kUnknown, reply.error().path + ": " + reply.error().reason);
+}
+
+}  // namespace jaymast
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -82,7 +82,6 @@
 void ReadPlatform(TomlReader reader, PlatformSettings& platform) {
   platform.table = RequiredAddress(reader, "table");
   platform.instances = RequiredAddress(reader, "instances");
-  platform.objects = CheckAddress(reader, "objects", reader.String("objects", ""));
   ReadInterval(reader, "table_timeout_ms", platform.table_timeout);
   ReadInterval(reader, "instances_timeout_ms", platform.instances_timeout);
   ReadInterval(reader, "instances_interval_ms", platform.instances_interval);
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -38,7 +38,6 @@
 /// Addresses of the platform and time limits of its calls.
 struct PlatformSettings {
   std::string table;      ///< IP number and port
-  std::string objects;    ///< IP number and port, empty when there is no object store
   std::string instances;  ///< IP number and port
   std::chrono::milliseconds table_timeout{1'000};
   std::chrono::milliseconds instances_timeout{1'000};
