--- /dev/null
+++ b/src/runtime/http_routes_test.cc
@@ -0,0 +1,107 @@
+#include "runtime/http_routes.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace jaymast {
+namespace {
+
+constexpr Time kNow = TimeFromMicros(5'000'000);
+constexpr std::chrono::milliseconds kPreviewDeadline{2'000};
+
+Result<Request> Map(const std::string& method, const std::string& target, const std::string& body = "",
+                    HttpHeaders headers = {{"authorization", "bearer secret"}}) {
+  return RequestFromHttp(HttpRequest{method, target, std::move(headers), body}, kNow, kPreviewDeadline);
+}
+
+template <typename T>
+T Get(Result<Request> request) {
+  EXPECT_TRUE(request) << request.error().path << ": " << request.error().reason;
+  EXPECT_TRUE(std::holds_alternative<T>(*request));
+  return std::get<T>(*request);
+}
+
+std::string PathOf(const Result<Request>& request) { return request ? "no error" : request.error().path; }
+
+TEST(HttpRoutesTest, MapsAPreview) {
+  const auto preview = Get<PreviewRequest>(Map("POST", "/v1/previews", R"({"team":"desk","body":"span"})"));
+  EXPECT_EQ(preview.secret, "secret");
+  EXPECT_EQ(preview.spec.work_class, WorkClass::kPreview);
+  EXPECT_EQ(preview.spec.body, "span");
+  EXPECT_EQ(preview.deadline, kNow + kPreviewDeadline);
+  const auto urgent = Get<PreviewRequest>(Map("POST", "/v1/previews", "{}", {{"Jaymast-Deadline-Ms", "150"}}));
+  EXPECT_EQ(urgent.deadline, kNow + std::chrono::milliseconds(150));
+  EXPECT_EQ(urgent.secret, "");
+}
+
+TEST(HttpRoutesTest, MapsSubmissions) {
+  const HttpHeaders headers = {{"Idempotency-Key", "order-7"}};
+  const auto one = Get<SubmitRequest>(Map("POST", "/v1/tasks", R"({"team":"desk","wait_ms":20})", headers));
+  ASSERT_EQ(one.specs.size(), 1U);
+  EXPECT_EQ(one.specs[0].idempotency_key, "order-7");
+  EXPECT_EQ(one.wait_until, kNow + std::chrono::milliseconds(20));
+  const std::string body = R"({"tasks":[{"team":"a"},{"team":"b","idempotency_key":"own"}],"wait_ms":0})";
+  const auto many = Get<SubmitRequest>(Map("POST", "/v1/tasks", body, headers));
+  ASSERT_EQ(many.specs.size(), 2U);
+  EXPECT_EQ(many.specs[0].idempotency_key, "order-7#0");
+  EXPECT_EQ(many.specs[1].idempotency_key, "own");
+  EXPECT_EQ(many.wait_until, kNow);
+}
+
+TEST(HttpRoutesTest, MapsTheOtherRoutes) {
+  const auto status = Get<TaskStatusRequest>(Map("GET", "/v1/tasks/t%2F1?x=1&wait_ms=30"));
+  EXPECT_EQ(status.task, TaskId("t/1"));
+  EXPECT_EQ(status.wait_until, kNow + std::chrono::milliseconds(30));
+  EXPECT_EQ(Get<CancelRequest>(Map("DELETE", "/v1/tasks/t1")).task, TaskId("t1"));
+  const std::string intents = R"({"intents":[{"type":"domain_out","domain":"north"}]})";
+  const auto plan = Get<PlanRequest>(Map("POST", "/v1/plans", intents));
+  EXPECT_EQ(std::get<SetDomainIntent>(plan.intents.at(0)).domain, DomainId("north"));
+  const auto confirm = Get<ConfirmRequest>(Map("POST", "/v1/plans/p1/confirm", R"({"base_version":4})"));
+  EXPECT_EQ(confirm.plan, PlanId("p1"));
+  EXPECT_EQ(confirm.base_version, 4);
+  for (const std::string name : {"status", "teams", "upstreams", "tasks", "domains", "entries", "keys"}) {
+    EXPECT_EQ(ToString(Get<ViewRequest>(Map("GET", "/v1/" + name)).view), name);
+  }
+  EXPECT_EQ(Get<ViewRequest>(Map("GET", "/v1/explain/t1")).task, TaskId("t1"));
+}
+
+TEST(HttpRoutesTest, ErrorsNameTheOffendingField) {
+  EXPECT_EQ(Map("POST", "/v1/tasks", "{").error().id, ErrorId::kInputSyntax);
+  EXPECT_EQ(PathOf(Map("POST", "/v1/tasks", R"({"tasks":[{"team":1}]})")), "body/tasks/0/team");
+  EXPECT_EQ(PathOf(Map("POST", "/v1/tasks", R"({"tasks":[],"wait_ms":0})")), "body/tasks");
+  EXPECT_EQ(PathOf(Map("POST", "/v1/tasks", R"({"tasks":7})")), "body/tasks");
+  EXPECT_EQ(PathOf(Map("POST", "/v1/tasks", R"({"wait_ms":-1})")), "body/wait_ms");
+  EXPECT_EQ(PathOf(Map("POST", "/v1/previews", R"({"class":"batch"})")), "body/class");
+  EXPECT_EQ(PathOf(Map("POST", "/v1/previews", R"({"semantics":"exclusive"})")), "body/semantics");
+  EXPECT_EQ(PathOf(Map("POST", "/v1/previews", "{}", {{"Jaymast-Deadline-Ms", "soon"}})), "Jaymast-Deadline-Ms");
+  EXPECT_EQ(PathOf(Map("POST", "/v1/plans", "{}")), "body/intents");
+  EXPECT_EQ(PathOf(Map("POST", "/v1/plans/p1/confirm", "{}")), "body/base_version");
+  EXPECT_EQ(PathOf(Map("GET", "/v1/tasks/t1?wait_ms=x")), "wait_ms");
+}
+
+TEST(HttpRoutesTest, UnknownRoutesAreNotFound) {
+  for (const std::string target :
+       {"/", "/v1", "/v1/nothing", "/v2/tasks", "/v1/status/x", "/v1/explain", "/v1/tasks/a/b"}) {
+    const Result<Request> request = Map("GET", target);
+    ASSERT_FALSE(request) << target;
+    EXPECT_EQ(HttpStatusOf(request.error()), 404) << target;
+  }
+  EXPECT_EQ(HttpStatusOf(Map("PUT", "/v1/tasks").error()), 404);
+}
+
+TEST(HttpRoutesTest, ErrorResponseIsAProblemWithTheStableId) {
+  Response response;
+  response.status = 409;
+  response.verdict = Verdict::kMayHaveRun;
+  response.error = Error{ErrorId::kOutcomeUnknown, "task", "no answer"};
+  const HttpResponse http = ResponseToHttp(response);
+  EXPECT_EQ(http.status, 409);
+  EXPECT_EQ(FindHeader(http.headers, "content-type"), "application/problem+json");
+  EXPECT_EQ(FindHeader(http.headers, "Jaymast-Verdict"), "may_have_run");
+  EXPECT_EQ(http.body, R"({"type":"jaymast.outcome.unknown","status":409,"detail":"no answer","path":"task",)"
+                       R"("verdict":"may_have_run"})");
+}
+
+}  // namespace
+}  // namespace jaymast
