Serve the fakes over HTTP with a control route for faults

Cause: entries as real processes need a platform and runners to talk to. Change: RunnerServer and PlatformServer put the state machines behind a port each, StandinSite starts all of them and applies faults after checking the whole request. Requests that arrive during a hang are handled when it ends. The new library jaymast_tools holds these parts, because the core and the test library must not depend on sockets.

--- /dev/null
+++ b/src/standin_server/standin_settings.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "model/upstream_info.h"
+#include "standin/runner_settings.h"
+#include "standin_server/platform_server.h"
+
+namespace jaymast {
+
+/// One runner of the process.
+struct StandinRunner {
+  RunnerSettings settings;
+  UpstreamInfo info;  ///< as the instance list shows it
+};
+
+/// Settings of jaymast-standin.
+struct StandinSettings {
+  std::string control;       ///< IP number and port of the control route, empty for none
+  std::string events = "-";  ///< file of the event log, "-" for standard output
+  std::size_t threads = 2;
+  std::optional<PlatformSettings> platform;
+  std::vector<StandinRunner> runners;  ///< listed as instances too if the process serves the platform
+};
+
+}  // namespace jaymast
