--- a/src/standin_server/platform_server.cc
+++ b/src/standin_server/platform_server.cc
@@ -43,7 +43,7 @@
 
 /// State behind the port. Handlers and timers keep it alive.
 struct PlatformServer::Shared {
-  Shared(IoPool& pool, const PlatformSettings& settings)
+  Shared(IoPool& pool, const StandinPlatformSettings& settings)
       : m_pool(pool),
         m_table(settings.reads_per_second, settings.writes_per_second),
         m_objects(settings.max_object_bytes),
@@ -112,7 +112,7 @@
   LaggingList m_list;
 };
 
-Result<std::unique_ptr<PlatformServer>> PlatformServer::Listen(IoPool& pool, const PlatformSettings& settings) {
+Result<std::unique_ptr<PlatformServer>> PlatformServer::Listen(IoPool& pool, const StandinPlatformSettings& settings) {
   auto shared = std::make_shared<Shared>(pool, settings);
   HttpServerOptions options;
   options.address = settings.address;
--- a/src/standin_server/platform_server.h
+++ b/src/standin_server/platform_server.h
@@ -12,7 +12,7 @@
 
 namespace jaymast {
 
-struct PlatformSettings {
+struct StandinPlatformSettings {
   std::string address;                   ///< IP number and port
   std::int64_t reads_per_second = 2000;  ///< budget of the table service
   std::int64_t writes_per_second = 400;  ///< budget of the table service
@@ -26,7 +26,7 @@
 class PlatformServer {
  public:
   /// @return the running server, or an error with the address when it cannot be used
-  static Result<std::unique_ptr<PlatformServer>> Listen(IoPool& pool, const PlatformSettings& settings);
+  static Result<std::unique_ptr<PlatformServer>> Listen(IoPool& pool, const StandinPlatformSettings& settings);
   ~PlatformServer();
   PlatformServer(const PlatformServer&) = delete;
   PlatformServer& operator=(const PlatformServer&) = delete;
--- a/src/standin_server/standin_settings.h
+++ b/src/standin_server/standin_settings.h
@@ -22,7 +22,7 @@
   std::string control;       ///< IP number and port of the control route, empty for none
   std::string events = "-";  ///< file of the event log, "-" for standard output
   std::size_t threads = 2;
-  std::optional<PlatformSettings> platform;
+  std::optional<StandinPlatformSettings> platform;
   std::vector<StandinRunner> runners;  ///< listed as instances too if the process serves the platform
 };
 
--- a/src/standin_server/standin_site.cc
+++ b/src/standin_server/standin_site.cc
@@ -71,7 +71,7 @@
     site->m_runners.push_back(std::move(*server));
   }
   if (settings.platform) {
-    PlatformSettings platform = *settings.platform;
+    StandinPlatformSettings platform = *settings.platform;
     for (const StandinRunner& runner : settings.runners) {
       UpstreamInfo info = runner.info;
       info.address = site->FindRunner(info.id)->address();
--- a/src/standin_server/standin_site_test.cc
+++ b/src/standin_server/standin_site_test.cc
@@ -31,7 +31,7 @@
 StandinSettings Settings() {
   StandinSettings settings;
   settings.control = "127.0.0.1:0";
-  settings.platform = PlatformSettings{};
+  settings.platform = StandinPlatformSettings{};
   settings.platform->address = "127.0.0.1:0";
   settings.platform->list_lag = Duration::zero();
   for (const char* name : {"u1", "u2"}) {
