--- a/src/standin_server/standin_site.cc
+++ b/src/standin_server/standin_site.cc
@@ -73,6 +73,7 @@
   if (settings.platform) {
     StandinPlatformSettings platform = *settings.platform;
     for (const StandinRunner& runner : settings.runners) {
+      if (!runner.listed) continue;
       UpstreamInfo info = runner.info;
       info.address = site->FindRunner(info.id)->address();
       platform.instances.upstreams.push_back(std::move(info));
