--- a/src/standin_server/platform_server.cc
+++ b/src/standin_server/platform_server.cc
@@ -16,7 +16,7 @@
 #include "standin/lagging_list.h"
 #include "standin/object_store.h"
 #include "standin/table_service.h"
-#include "standin_server/steady_clock.h"
+#include "standin_server/standin_clock.h"
 
 namespace jaymast {
 namespace {
@@ -53,7 +53,7 @@
 
   void OnRequest(HttpRequest request, HttpResponder responder) {
     std::optional<HttpResponse> response;
-    Time answer_at = SteadyNow();
+    Time answer_at = StandinClock().Now();
     {
       const std::lock_guard lock(m_mutex);
       response = Handle(std::move(request), answer_at);
@@ -98,8 +98,8 @@
   }
 
   void RespondAt(Time time, HttpResponse response, HttpResponder responder) {
-    if (time <= SteadyNow()) return responder.Respond(std::move(response));
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_pool.Context(0), ToSteady(time));
+    if (time <= StandinClock().Now()) return responder.Respond(std::move(response));
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_pool.Context(0), StandinClock().ToSteady(time));
     timer->async_wait([timer, response = std::move(response), responder = std::move(responder)](auto) mutable {
       responder.Respond(std::move(response));
     });
@@ -148,7 +148,7 @@
         std::any_of(upstreams.begin(), upstreams.end(), [&id](const auto& info) { return info.id == id; });
     if (!known) return Error{ErrorId::kInputField, "/leaving", "unknown instance '" + id.value() + "'"};
   }
-  m_shared->m_list.SetLeaving(leaving, SteadyNow());
+  m_shared->m_list.SetLeaving(leaving, StandinClock().Now());
   return true;
 }
 
--- a/src/standin_server/runner_server.cc
+++ b/src/standin_server/runner_server.cc
@@ -9,7 +9,7 @@
 #include "model/runner_codec.h"
 #include "net/io_pool.h"
 #include "net/problem.h"
-#include "standin_server/steady_clock.h"
+#include "standin_server/standin_clock.h"
 
 namespace jaymast {
 namespace {
@@ -59,15 +59,15 @@
       return;
     }
     const auto* run = std::get_if<RunTaskRequest>(&*decoded);
-    if (run == nullptr) return responder.Respond(ReplyResponse(m_state.Handle(*decoded, SteadyNow())));
-    const auto started = m_state.StartRun(*run, SteadyNow());
+    if (run == nullptr) return responder.Respond(ReplyResponse(m_state.Handle(*decoded, StandinClock().Now())));
+    const auto started = m_state.StartRun(*run, StandinClock().Now());
     if (const auto* reply = std::get_if<UpstreamReply>(&started)) return responder.Respond(ReplyResponse(*reply));
     m_waiting.emplace(std::get<RunnerState::RunToken>(started), responder);
   }
 
   /// Answers the run calls that are due and sets the timer for the next one. Needs the lock.
   void Settle() {
-    for (const RunnerState::RunCompletion& done : m_state.Advance(SteadyNow())) {
+    for (const RunnerState::RunCompletion& done : m_state.Advance(StandinClock().Now())) {
       const auto waiting = m_waiting.find(done.token);
       if (waiting == m_waiting.end()) continue;
       waiting->second.Respond(ReplyResponse(done.reply));
@@ -81,7 +81,7 @@
     m_timer_at = deadline;
     m_timer.cancel();
     if (!deadline) return;
-    m_timer.expires_at(ToSteady(*deadline));
+    m_timer.expires_at(StandinClock().ToSteady(*deadline));
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
       if (ec) return;
       const std::lock_guard lock(self->m_mutex);
--- a/src/standin_server/standin_site_test.cc
+++ b/src/standin_server/standin_site_test.cc
@@ -13,8 +13,8 @@
 #include "net/blocking_http_client.h"
 #include "net/io_pool.h"
 #include "standin/task_profile.h"
+#include "standin_server/standin_clock.h"
 #include "standin_server/standin_settings.h"
-#include "standin_server/steady_clock.h"
 
 namespace jaymast {
 namespace {
@@ -84,7 +84,7 @@
     spec.id = TaskId(id);
     spec.demand.slots = 1;
     spec.body = R"({"run_ms":5,"output_bytes":5000})";
-    return RunTaskRequest{kOwner, spec, 1, EntryId("e1"), ToMillis(SteadyNow().time_since_epoch()) + kDayMs};
+    return RunTaskRequest{kOwner, spec, 1, EntryId("e1"), ToMillis(StandinClock().Now().time_since_epoch()) + kDayMs};
   }
 
   int Control(const std::string& body) {
