Add the command line without its connection

Operators and submitters need one program for plans, tasks and keys. Files of intents and tasks are read from TOML or JSON with file, line and key in each error.

--- /dev/null
+++ b/src/cli/config_check.cc
@@ -0,0 +1,42 @@
+#include "cli/config_check.h"
+
+#include <fmt/format.h>
+
+#include <ostream>
+
+#include "cli/client_settings.h"
+#include "cli/input_files.h"
+#include "cli/located_document.h"
+
+namespace jaymast {
+namespace {
+
+std::string KindOf(const LocatedDocument& document) {
+  if (document.root().contains("intent")) return "intents";
+  if (document.root().contains("task")) return "tasks";
+  return "client";
+}
+
+template <typename T>
+ExitCode Report(CommandContext& context, const std::string& file, const std::string& kind, const Result<T>& result) {
+  if (!result) return ReportError(context, result.error());
+  context.out << fmt::format("{}: valid ({})\n", file, kind);
+  return ExitCode::kSuccess;
+}
+
+}  // namespace
+
+std::vector<std::string> ConfigCheckKinds() { return {"auto", "intents", "tasks", "client"}; }
+
+ExitCode RunConfigCheck(CommandContext& context, const std::string& file, const std::string& kind) {
+  const Result<std::string> text = ReadInputFile(file);
+  if (!text) return ReportError(context, text.error());
+  const Result<LocatedDocument> document = LocatedDocument::Parse(*text, file);
+  if (!document) return ReportError(context, document.error());
+  const std::string decided = kind == "auto" ? KindOf(*document) : kind;
+  if (decided == "intents") return Report(context, file, decided, IntentsFromDocument(*document));
+  if (decided == "tasks") return Report(context, file, decided, TasksFromDocument(*document));
+  return Report(context, file, decided, ClientSettingsFromDocument(*document));
+}
+
+}  // namespace jaymast
