--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -25,7 +25,7 @@
 constexpr std::int64_t kDefaultTaskWaitSeconds = 600;
 constexpr std::int64_t kDefaultPreviewSeconds = 30;
 constexpr std::int64_t kDefaultDrainSeconds = 600;
-constexpr std::int64_t kMaxWaitSeconds = 24 * 3600;
+constexpr std::int64_t kMaxWaitSeconds = std::int64_t{24} * 3600;
 
 /// Reads a file, decodes it and passes the items on.
 template <typename Decode, typename Use>
--- a/src/cli/command_line_test.cc
+++ b/src/cli/command_line_test.cc
@@ -33,7 +33,7 @@
   }
 
   std::string WriteFile(const std::string& name, const std::string& text) {
-    const std::string path = testing::TempDir() + name;
+    std::string path = testing::TempDir() + name;
     std::ofstream(path) << text;
     return path;
   }
--- a/src/cli/completion.cc
+++ b/src/cli/completion.cc
@@ -44,7 +44,7 @@
 }  // namespace
 
 std::string BashCompletion(const CLI::App& app) {
-  const std::string name = app.get_name();
+  const std::string& name = app.get_name();
   std::string text = fmt::format("_{}_complete() {{\n", name);
   text += "  local path='' word words=''\n";
   text += "  for word in \"${COMP_WORDS[@]:1:COMP_CWORD-1}\"; do\n";
