Follow the views of the core in drain and confirm

Only the owner of an upstream reports its tasks, so drain asks every configured entry and counts an upstream without a report as not drained.

--- a/src/cli/api_client.h
+++ b/src/cli/api_client.h
@@ -32,6 +32,9 @@
   /// @return the answer with any status; kNotServing when certainly no byte was sent; kOutcomeUnknown when the
   /// connection failed later
   virtual Result<ApiReply> Send(const ApiCall& call) = 0;
+
+  /// Sends one request to each configured entry, for views in which each entry knows a part.
+  virtual std::vector<Result<ApiReply>> SendToAll(const ApiCall& call) { return {Send(call)}; }
 };
 
 }  // namespace jaymast
--- a/src/cli/client_settings.h
+++ b/src/cli/client_settings.h
@@ -11,9 +11,10 @@
 
 /// Settings of the program `jaymast`. Options on the command line take precedence over the settings file.
 struct ClientSettings {
-  std::string server = "127.0.0.1:8080";  ///< IP number and port of an entry
-  std::string key_file;                   ///< file with the secret of a key, empty to send none
-  std::string ca_file;                    ///< certificates that sign the server's, empty for plain HTTP
+  /// IP number and port of an entry, or of several, separated by commas. A request goes to the first that is reachable.
+  std::string server = "127.0.0.1:8080";
+  std::string key_file;  ///< file with the secret of a key, empty to send none
+  std::string ca_file;   ///< certificates that sign the server's, empty for plain HTTP
   OutputFormat output = OutputFormat::kTable;
 };
 
--- a/src/cli/command_context.cc
+++ b/src/cli/command_context.cc
@@ -22,25 +22,25 @@
 
 }  // namespace
 
-bool CallForObject(CommandContext& context, const ApiCall& call, boost::json::object& object, ExitCode& code) {
-  const Result<ApiReply> reply = context.api.Send(call);
-  if (!reply) {
-    code = ReportProblem(context, ProblemFromError(reply.error()));
-    return false;
-  }
-  if (reply->status >= kFirstErrorStatus) {
-    code = ReportProblem(context, ProblemFromReply(*reply));
-    return false;
-  }
-  Result<boost::json::object> parsed = ParseObject(reply->body.empty() ? "{}" : reply->body, call.target);
-  if (!parsed) {
-    code = ReportError(context, parsed.error());
-    return false;
-  }
+bool ObjectFromReply(const Result<ApiReply>& reply, boost::json::object& object) {
+  if (!reply || reply->status >= kFirstErrorStatus) return false;
+  Result<boost::json::object> parsed = ParseObject(reply->body.empty() ? "{}" : reply->body, "");
+  if (!parsed) return false;
   object = std::move(*parsed);
   return true;
 }
 
+ExitCode ReportReply(CommandContext& context, const Result<ApiReply>& reply) {
+  return ReportProblem(context, reply ? ProblemFromReply(*reply) : ProblemFromError(reply.error()));
+}
+
+bool CallForObject(CommandContext& context, const ApiCall& call, boost::json::object& object, ExitCode& code) {
+  const Result<ApiReply> reply = context.api.Send(call);
+  if (ObjectFromReply(reply, object)) return true;
+  code = ReportReply(context, reply);
+  return false;
+}
+
 ExitCode ReportError(CommandContext& context, const Error& error) {
   const std::string text = fmt::format("error: {}: {}: {}", ToString(error.id), error.path, error.reason);
   context.err << context.palette.Paint(Tone::kRemoved, text) << "\n";
--- a/src/cli/command_context.h
+++ b/src/cli/command_context.h
@@ -41,6 +41,13 @@
 /// @return whether `object` was filled
 bool CallForObject(CommandContext& context, const ApiCall& call, boost::json::object& object, ExitCode& code);
 
+/// Reads an answer whose body is a JSON object.
+/// @return false when there is no answer, its status is an error, or its body is not an object
+bool ObjectFromReply(const Result<ApiReply>& reply, boost::json::object& object);
+
+/// Prints the problem of an answer that is not a success, and returns its exit code.
+ExitCode ReportReply(CommandContext& context, const Result<ApiReply>& reply);
+
 /// Prints an error and returns its exit code.
 ExitCode ReportError(CommandContext& context, const Error& error);
 
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -25,7 +25,8 @@
 constexpr std::int64_t kDefaultTaskWaitSeconds = 600;
 constexpr std::int64_t kDefaultPreviewSeconds = 30;
 constexpr std::int64_t kDefaultDrainSeconds = 600;
-constexpr std::int64_t kMaxWaitSeconds = std::int64_t{24} * 3600;
+constexpr std::int64_t kMaxWaitSeconds = 600;  // longest wait that an entry accepts
+constexpr std::int64_t kMaxDrainSeconds = 86'400;
 
 /// Reads a file, decodes it and passes the items on.
 template <typename Decode, typename Use>
@@ -65,7 +66,8 @@
 }
 
 void CommandLine::AddGlobalOptions() {
-  m_app.add_option("--server", m_server, "IP number and port of an entry [127.0.0.1:8080]")->envname("JAYMAST_SERVER");
+  m_app.add_option("--server", m_server, "IP number and port of an entry, or of several with commas [127.0.0.1:8080]")
+      ->envname("JAYMAST_SERVER");
   m_app.add_option("--key-file", m_key_file, "File with the secret of a key")->envname("JAYMAST_KEY_FILE");
   m_app.add_option("--ca-file", m_ca_file, "Certificates that sign the server's; enables TLS");
   m_app.add_option("--output", m_output, "table or json [table]")->check(CLI::IsMember({"table", "json"}));
@@ -151,7 +153,7 @@
         return RunDrain(context, m_name, patience);
       });
   drain->add_option("--timeout", m_wait_s, "Seconds to wait until it is drained [600]")
-      ->check(CLI::Range(std::int64_t{1}, kMaxWaitSeconds));
+      ->check(CLI::Range(std::int64_t{1}, kMaxDrainSeconds));
   CLI::App* restore = AddCommand(m_app, "restore", "Return a failure domain or an upstream to service",
                                  [this](CommandContext& context) { return RunRestore(context, m_name); });
   for (CLI::App* command : {drain, restore}) {
--- a/src/cli/commands_test.cc
+++ b/src/cli/commands_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <boost/json.hpp>
 #include <sstream>
 #include <string>
 
@@ -15,6 +16,8 @@
 namespace jaymast {
 namespace {
 
+namespace json = boost::json;
+
 constexpr char kPlan[] = R"({"id":"p1","base_version":4,"intents":[]})";
 constexpr char kNewPlan[] = R"({"id":"p2","base_version":5,"intents":[]})";
 constexpr char kConflict[] = R"({"type":"jaymast.plan.conflict","detail":"version 5","path":"p1","verdict":"not_run"})";
@@ -94,10 +97,8 @@
 }
 
 TEST_F(CommandsTest, DrainReportsProgressUntilNothingRuns) {
-  const char* busy =
-      R"({"upstreams":[{"id":"u1","domain":"lahti","running":2},{"id":"u2","domain":"lahti","running":1}]})";
-  const char* idle =
-      R"({"upstreams":[{"id":"u1","domain":"lahti","running":0},{"id":"u2","domain":"lahti","running":0}]})";
+  const char* busy = R"({"upstreams":[{"id":"u1","domain":"lahti","tasks":2},{"id":"u2","domain":"lahti","tasks":1}]})";
+  const char* idle = R"({"upstreams":[{"id":"u1","domain":"lahti","tasks":0},{"id":"u2","domain":"lahti","tasks":0}]})";
   m_context.assume_yes = true;
   m_client.Answer(200, busy);
   m_client.Answer(200, kPlan);
@@ -111,9 +112,27 @@
   EXPECT_EQ(RunDrain(m_context, "nowhere", std::chrono::minutes(1)), ExitCode::kInput);
 }
 
+// Guards against a drain that seems complete although no owner reported its tasks.
+TEST_F(CommandsTest, AnUpstreamWithoutAReportIsNotDrained) {
+  const DrainTarget target{DrainKind::kDomain, "lahti"};
+  const json::object other = json::parse(R"({"upstreams":[{"id":"u1","domain":"lahti"}]})").as_object();
+  const json::object owner = json::parse(R"({"upstreams":[{"id":"u1","domain":"lahti","tasks":2}]})").as_object();
+  EXPECT_EQ(ProgressOf(target, {other})->unreported, 1);
+  EXPECT_EQ(ProgressOf(target, {other, owner, other})->unreported, 0);
+  EXPECT_EQ(ProgressOf(target, {other, owner, other})->running, 2);
+  EXPECT_FALSE(ProgressOf(DrainTarget{DrainKind::kDomain, "turku"}, {other}));
+}
+
+// Guards against a change that is reported as done while an entry still works under the old configuration.
+TEST_F(CommandsTest, AChangeThatIsNotInForceEverywhereIsATimeout) {
+  m_client.Answer(202, R"({"accepted":false,"version":5,"not_in_force":[{"entry":"e2","domain":"turku"}]})");
+  EXPECT_EQ(RunConfirm(m_context, "p1", 4), ExitCode::kTimeout);
+  EXPECT_NE(m_out.str().find("e2     turku"), std::string::npos);
+}
+
 TEST_F(CommandsTest, DrainEndsWhenPatienceIsUsedUp) {
   m_context.assume_yes = true;
-  const char* busy = R"({"upstreams":[{"id":"u1","domain":"lahti","running":2}]})";
+  const char* busy = R"({"upstreams":[{"id":"u1","domain":"lahti","tasks":2}]})";
   m_client.Answer(200, busy);
   m_client.Answer(200, kPlan);
   m_client.Answer(200, "{}");
--- a/src/cli/domain_commands.cc
+++ b/src/cli/domain_commands.cc
@@ -2,9 +2,12 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/value.hpp>
+#include <map>
 #include <ostream>
+#include <utility>
 
 #include "cli/plan_commands.h"
 #include "cli/view_text.h"
@@ -30,33 +33,55 @@
   return Field(row, target.kind == DrainKind::kDomain ? "domain" : "id") == target.name;
 }
 
-std::int64_t RunningOf(const json::object& row) {
-  const json::value* value = row.if_contains("running");
-  if (value == nullptr) return 0;
+/// Number of tasks that the owner of an upstream reports, or nothing in the view of another entry.
+std::optional<std::int64_t> TasksOf(const json::object& row) {
+  const json::value* value = row.if_contains("tasks");
+  if (value == nullptr) return std::nullopt;
   boost::system::error_code ec;
-  const auto running = value->to_number<std::int64_t>(ec);
-  return ec ? 0 : running;
+  const auto tasks = value->to_number<std::int64_t>(ec);
+  return ec ? std::nullopt : std::optional<std::int64_t>(tasks);
 }
 
-bool ReadUpstreams(CommandContext& context, json::object& view, ExitCode& code) {
+/// Views of all entries that answer. Reports the last problem when none does.
+bool ReadUpstreams(CommandContext& context, std::vector<json::object>& views, ExitCode& code) {
   ApiCall call;
   call.method = "GET";
   call.target = "/v1/upstreams";
-  return CallForObject(context, call, view, code);
+  views.clear();
+  std::optional<Result<ApiReply>> failed;
+  for (const Result<ApiReply>& reply : context.api.SendToAll(call)) {
+    json::object view;
+    if (ObjectFromReply(reply, view)) {
+      views.push_back(std::move(view));
+    } else {
+      failed = reply;
+    }
+  }
+  if (views.empty() && failed) code = ReportReply(context, *failed);
+  return !views.empty();
 }
 
 ExitCode ReportUnknown(CommandContext& context, const std::string& name) {
   return ReportError(context, Error{ErrorId::kInputField, name, "no failure domain or upstream has this name"});
 }
 
+std::string ProgressText(const std::string& name, const DrainProgress& progress) {
+  std::string text = fmt::format("{}: {} tasks running", name, progress.running);
+  if (progress.unreported > 0)
+    text += fmt::format(", {} upstreams without a report of their owner", progress.unreported);
+  return text + "\n";
+}
+
 ExitCode WaitUntilDrained(CommandContext& context, const DrainTarget& target, std::chrono::milliseconds patience) {
   for (std::chrono::milliseconds waited{0};; waited += kPollInterval) {
-    json::object view;
+    std::vector<json::object> views;
     ExitCode code = ExitCode::kSuccess;
-    if (!ReadUpstreams(context, view, code)) return code;
-    const std::int64_t running = RunningIn(target, view).value_or(0);
-    context.err << fmt::format("{}: {} tasks running\n", target.name, running);
-    if (running == 0) return ExitCode::kSuccess;
+    if (!ReadUpstreams(context, views, code)) return code;
+    const std::optional<DrainProgress> progress = ProgressOf(target, views);
+    // The platform has removed the upstreams, so nothing can run on them.
+    if (!progress) return ExitCode::kSuccess;
+    context.err << ProgressText(target.name, *progress);
+    if (progress->running == 0 && progress->unreported == 0) return ExitCode::kSuccess;
     if (waited >= patience) return ExitCode::kTimeout;
     context.sleep(kPollInterval);
   }
@@ -69,41 +94,52 @@
   return SetUpstreamIntent{UpstreamId(target.name), out};
 }
 
-std::optional<std::int64_t> RunningIn(const DrainTarget& target, const json::object& upstreams_view) {
-  const json::array* rows = Rows(upstreams_view);
-  if (rows == nullptr) return std::nullopt;
-  std::optional<std::int64_t> running;
-  for (const json::value& row : *rows) {
-    if (!row.is_object() || !Matches(target, row.get_object())) continue;
-    running = running.value_or(0) + RunningOf(row.get_object());
+std::optional<DrainProgress> ProgressOf(const DrainTarget& target, const std::vector<json::object>& views) {
+  std::map<std::string, std::optional<std::int64_t>> tasks;
+  for (const json::object& view : views) {
+    const json::array* rows = Rows(view);
+    if (rows == nullptr) continue;
+    for (const json::value& row : *rows) {
+      if (!row.is_object() || !Matches(target, row.get_object())) continue;
+      std::optional<std::int64_t>& known = tasks[Field(row.get_object(), "id")];
+      known = std::max(known, TasksOf(row.get_object()));
+    }
+  }
+  if (tasks.empty()) return std::nullopt;
+  DrainProgress progress;
+  for (const auto& [upstream, count] : tasks) {
+    progress.running += count.value_or(0);
+    progress.unreported += count ? 0 : 1;
   }
-  return running;
+  return progress;
 }
 
-std::optional<DrainTarget> FindDrainTarget(const std::string& name, const json::object& upstreams_view) {
+std::optional<DrainTarget> FindDrainTarget(const std::string& name, const std::vector<json::object>& views) {
   for (const DrainKind kind : {DrainKind::kDomain, DrainKind::kUpstream}) {
     const DrainTarget target{kind, name};
-    if (RunningIn(target, upstreams_view)) return target;
+    if (ProgressOf(target, views)) return target;
   }
   return std::nullopt;
 }
 
 ExitCode RunDrain(CommandContext& context, const std::string& name, std::chrono::milliseconds patience) {
-  json::object view;
+  std::vector<json::object> views;
   ExitCode code = ExitCode::kSuccess;
-  if (!ReadUpstreams(context, view, code)) return code;
-  const std::optional<DrainTarget> target = FindDrainTarget(name, view);
+  if (!ReadUpstreams(context, views, code)) return code;
+  const std::optional<DrainTarget> target = FindDrainTarget(name, views);
   if (!target) return ReportUnknown(context, name);
   code = RunApply(context, {DrainIntent(*target, true)});
-  if (code != ExitCode::kSuccess) return code;
-  return WaitUntilDrained(context, *target, patience);
+  // A change that is not in force everywhere yet is recorded, and the tasks elsewhere drain already.
+  if (code != ExitCode::kSuccess && code != ExitCode::kTimeout) return code;
+  const ExitCode drained = WaitUntilDrained(context, *target, patience);
+  return drained == ExitCode::kSuccess ? code : drained;
 }
 
 ExitCode RunRestore(CommandContext& context, const std::string& name) {
-  json::object view;
+  std::vector<json::object> views;
   ExitCode code = ExitCode::kSuccess;
-  if (!ReadUpstreams(context, view, code)) return code;
-  const std::optional<DrainTarget> target = FindDrainTarget(name, view);
+  if (!ReadUpstreams(context, views, code)) return code;
+  const std::optional<DrainTarget> target = FindDrainTarget(name, views);
   if (!target) return ReportUnknown(context, name);
   return RunApply(context, {DrainIntent(*target, false)});
 }
--- a/src/cli/http_api_client.h
+++ b/src/cli/http_api_client.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "cli/api_client.h"
 #include "cli/client_settings.h"
@@ -16,12 +17,16 @@
   /// @return the client, or an error with the path of the file or setting that cannot be used
   static Result<std::unique_ptr<ApiClient>> Open(const ClientSettings& settings);
 
+  /// Tries the next entry only when certainly no byte reached the one before.
   Result<ApiReply> Send(const ApiCall& call) override;
+  std::vector<Result<ApiReply>> SendToAll(const ApiCall& call) override;
 
  private:
-  HttpApiClient(std::string server, std::string secret, std::shared_ptr<TlsContext> tls);
+  HttpApiClient(std::vector<std::string> servers, std::string secret, std::shared_ptr<TlsContext> tls);
 
-  std::string m_server;
+  Result<ApiReply> SendTo(const std::string& server, const ApiCall& call);
+
+  std::vector<std::string> m_servers;  ///< not empty
   std::string m_secret;
   BlockingHttpClient m_client;
 };
--- a/src/cli/plan_commands.cc
+++ b/src/cli/plan_commands.cc
@@ -53,6 +53,12 @@
   return value == nullptr ? "" : CellText(*value);
 }
 
+/// Whether the answer to a confirmation says that every entry has the change.
+bool IsInForce(const json::object& answer) {
+  const json::value* accepted = answer.if_contains("accepted");
+  return accepted == nullptr || !accepted->is_bool() || accepted->get_bool();
+}
+
 }  // namespace
 
 bool AskToConfirm(CommandContext& context, const std::string& question) {
@@ -79,7 +85,9 @@
   ExitCode code = ExitCode::kSuccess;
   if (!CallForObject(context, ConfirmCall(plan, base_version), answer, code)) return code;
   PrintObject(context, answer);
-  return ExitCode::kSuccess;
+  if (IsInForce(answer)) return ExitCode::kSuccess;
+  context.err << "the change is recorded, but not in force everywhere yet\n";
+  return ExitCode::kTimeout;
 }
 
 ExitCode RunApply(CommandContext& context, const std::vector<Intent>& intents) {
--- a/src/cli/task_commands.cc
+++ b/src/cli/task_commands.cc
@@ -7,7 +7,6 @@
 #include <boost/json/value.hpp>
 #include <ostream>
 
-#include "cli/problem.h"
 #include "cli/view_text.h"
 #include "model/codec.h"
 
@@ -32,21 +31,22 @@
   return call;
 }
 
-bool IsUnsuccessful(const json::object& task) {
+ExitCode CodeForTask(const json::object& task) {
   const json::value* state = task.if_contains("state");
-  if (state == nullptr) return false;
+  if (state == nullptr) return ExitCode::kSuccess;
   const std::string text = CellText(*state);
-  return text == "failed" || text == "cancelled" || text == "unknown";
+  if (text == "refused") return ExitCode::kRefused;
+  if (text == "unknown") return ExitCode::kOutcomeUnknown;
+  return text == "failed" || text == "cancelled" ? ExitCode::kTaskFailed : ExitCode::kSuccess;
 }
 
-/// Exit code for an answer that is one task or has an array of tasks.
+/// Exit code for an answer that is one task or has an array of tasks: that of the first task without success.
 ExitCode CodeForTasks(const json::object& answer) {
   const json::value* tasks = answer.if_contains("tasks");
-  if (tasks == nullptr || !tasks->is_array()) {
-    return IsUnsuccessful(answer) ? ExitCode::kTaskFailed : ExitCode::kSuccess;
-  }
+  if (tasks == nullptr || !tasks->is_array()) return CodeForTask(answer);
   for (const json::value& task : tasks->get_array()) {
-    if (task.is_object() && IsUnsuccessful(task.get_object())) return ExitCode::kTaskFailed;
+    const ExitCode code = task.is_object() ? CodeForTask(task.get_object()) : ExitCode::kSuccess;
+    if (code != ExitCode::kSuccess) return code;
   }
   return ExitCode::kSuccess;
 }
@@ -92,9 +92,7 @@
     context.out << reply->body;
     return ExitCode::kSuccess;
   }
-  const Problem problem = reply ? ProblemFromReply(*reply) : ProblemFromError(reply.error());
-  context.err << context.palette.Paint(Tone::kRemoved, FormatProblem(problem)) << "\n";
-  return problem.code;
+  return ReportReply(context, reply);
 }
 
 ExitCode RunTaskStatus(CommandContext& context, const std::string& task, std::chrono::milliseconds wait) {
--- a/src/cli/view_commands.cc
+++ b/src/cli/view_commands.cc
@@ -2,8 +2,6 @@
 
 #include <ostream>
 
-#include "cli/problem.h"
-
 namespace jaymast {
 namespace {
 
@@ -37,9 +35,7 @@
     context.out << reply->body;
     return ExitCode::kSuccess;
   }
-  const Problem problem = reply ? ProblemFromReply(*reply) : ProblemFromError(reply.error());
-  context.err << FormatProblem(problem) << "\n";
-  return problem.code;
+  return ReportReply(context, reply);
 }
 
 }  // namespace jaymast
