--- a/src/limits/allotments.cc
+++ b/src/limits/allotments.cc
@@ -16,9 +16,6 @@
 /// Time between two requests to other holders for the same team.
 constexpr Duration kRequestInterval = std::chrono::milliseconds(200);
 
-/// A base allotment is this part of an even split, so that entries without demand leave most of the limit free.
-constexpr std::int64_t kBaseDivisor = 4;
-
 constexpr Duration kSettleRetryInterval = std::chrono::seconds(1);
 
 /// A raise at most doubles the use and adds this many, so that repeated refusals of one task do not take the whole
@@ -57,12 +54,8 @@
 }  // namespace
 
 Allotments::Allotments(Context& context, TableClient& table, const ConfigStore& config, const Membership& membership,
-                       std::function<void()> on_raised)
-    : m_context(context),
-      m_table(table),
-      m_config(config),
-      m_membership(membership),
-      m_on_raised(std::move(on_raised)) {}
+                       Hooks hooks)
+    : m_context(context), m_table(table), m_config(config), m_membership(membership), m_hooks(std::move(hooks)) {}
 
 void Allotments::Start() { Prewarm(); }
 
@@ -136,7 +129,7 @@
     request.keys.push_back(RowKey(team));
     m_table.Read(std::move(request), [this, team](const ReadReply& reply) {
       if (reply.available) OnRow(team, reply.rows);
-      m_on_raised();
+      m_hooks.on_raised();
     });
   }
 }
@@ -179,12 +172,17 @@
     state.holders = holders;
   }
   EmitChange(team);
-  m_on_raised();
+  m_hooks.on_raised();
 }
 
 std::int64_t Allotments::BaseAmount(const TeamId& team) const {
   const auto entries = static_cast<std::int64_t>(m_membership.peers().size()) + 1;
-  return Limit(team) / (kBaseDivisor * entries);
+  // An even split, with one part left in the pool for bursts. A cut-off entry has to get by with its part.
+  return Limit(team) / (entries + 1);
+}
+
+std::int64_t Allotments::Useful(const TeamState& state) const {
+  return std::min({state.wanted, state.used + kRaiseStep, m_hooks.free_slots()});
 }
 
 bool Allotments::Raise(const TeamId& team, Holders& holders) {
@@ -197,7 +195,8 @@
     holders[m_context.self] = std::max(state.used, own * Limit(team) / sum);
     return holders[m_context.self] != own;
   }
-  const std::int64_t target = std::max(state.used + std::min(state.wanted, state.used + kRaiseStep), BaseAmount(team));
+  const std::int64_t base = BaseAmount(team);
+  const std::int64_t target = std::max({state.used + Useful(state), base, state.used + base / 2});
   if (target <= own || free == 0) return false;
   holders[m_context.self] = own + std::min(free, target - own);
   return true;
@@ -235,7 +234,7 @@
   Holders holders = state.holders;
   if (!change(holders)) {
     state.adjusting = false;
-    const std::int64_t missing = std::min(state.wanted, state.used + kRaiseStep);
+    const std::int64_t missing = Useful(state);
     state.wanted = 0;
     if (missing > 0) AskHolders(team, missing);
     return;
@@ -313,7 +312,9 @@
   if (next == teams.end()) next = teams.begin();
   if (next != teams.end()) {
     m_prewarmed = next->first;
-    const bool needs_base = Allowed(m_prewarmed) < BaseAmount(m_prewarmed) && m_membership.IsLeaseValid();
+    const std::int64_t base = BaseAmount(m_prewarmed);
+    const std::int64_t wanted = std::max(base, Used(m_prewarmed) + base / 2);
+    const bool needs_base = Allowed(m_prewarmed) < wanted && m_membership.IsLeaseValid();
     if (needs_base) Adjust(m_prewarmed);
   }
   m_context.After(kPrewarmInterval, [this] { Prewarm(); });
