Place tasks by filtering groups of workers and scoring a bounded sample

Cause: the first version scanned a map of all workers for each decision and knew one policy only. Change: workers are in contiguous arrays in groups that keep the largest free amounts, policies are a variant with visitors, previews have reserved headroom, services spread over domains and racks, gangs are chosen all or nothing, starts on a returned domain are rate limited, and a blocked task can reserve its start. Demands that no upstream could hold name the binding constraint.

--- /dev/null
+++ b/src/placement/placement_score.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include "base/error.h"
+#include "base/resources.h"
+#include "model/task_spec.h"
+#include "placement/placement_policy.h"
+#include "placement/spread_counts.h"
+#include "placement/worker_table.h"
+
+namespace jaymast {
+
+/// Visitor that scores a worker with room for a task under each policy. The highest score wins.
+struct PlacementScore {
+  const TaskSpec& spec;
+  const WorkerTable::Row& row;
+  const Resources& free;
+  const SpreadCounts& spread;
+  std::mt19937_64& random;
+
+  double operator()(const BestFitPolicy& policy) const;
+  double operator()(const SpreadPolicy& policy) const;
+  double operator()(const HeadroomPolicy& policy) const;
+  double operator()(const GangPolicy& policy) const;
+  double operator()(const FirstFitPolicy& policy) const;
+  double operator()(const RandomPolicy& policy) const;
+  double operator()(const StrictPriorityPolicy& policy) const;
+};
+
+/// Most workers that are scored for one decision.
+std::size_t SampleLimit(const PlacementPolicy& policy);
+
+/// Whether the search starts at a random group. Packing policies start at the first group, which keeps later groups
+/// free for large tasks.
+bool StartsAtRandom(const PlacementPolicy& policy);
+
+/// The amounts with those below zero raised to zero.
+Resources NotNegative(const Resources& amount);
+
+/// Number of tasks of the same demand that fit into free capacity, up to a bound.
+std::int64_t CopiesIn(const Resources& free, const Resources& demand, std::int64_t most);
+
+/// Error that names the resource which excludes a demand from all the given capacities.
+/// @param capacities capacities of workers, not empty, none of which holds the demand
+Error BindingConstraint(const Resources& demand, const std::vector<Resources>& capacities);
+
+}  // namespace jaymast
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -1,74 +1,302 @@
 #include "placement/placer.h"
 
-#include <tuple>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <numeric>
+#include <string>
+
+#include "base/hash.h"
+#include "placement/estimator.h"
+#include "placement/placement_score.h"
 
 namespace jaymast {
+namespace {
+
+/// Most workers that fit and that a reservation or the headroom excludes, before a search gives up. Without a bound, a
+/// decision on a full cluster looks at every worker.
+constexpr std::size_t kMaxPassedOver = 64;
 
-Placer::Placer(std::uint64_t /*seed*/) {}
+constexpr std::int64_t kPermille = 1000;
 
-void Placer::SetPolicies(const std::map<WorkClass, std::string>& /*policies*/) {}
+}  // namespace
 
-void Placer::PutUpstream(const UpstreamInfo& info) { m_workers[info.id].info = info; }
+Placer::Placer(std::uint64_t seed) : m_random(seed) { SetPolicies({}); }
 
-void Placer::RemoveUpstream(const UpstreamId& id) { m_workers.erase(id); }
+void Placer::SetPolicies(const std::map<WorkClass, std::string>& policies) {
+  for (std::size_t i = 0; i < m_policies.size(); ++i) {
+    const auto work_class = static_cast<WorkClass>(i);
+    const auto named = policies.find(work_class);
+    const auto policy = named == policies.end() ? std::nullopt : PolicyFromName(named->second);
+    m_policies[i] = policy.value_or(DefaultPolicy(work_class));
+  }
+}
+
+void Placer::SetHeadroom(std::int64_t slots_permille, const Resources& unit) {
+  m_headroom_permille = slots_permille;
+  m_table.SetPreviewUnit(unit);
+}
+
+void Placer::PutUpstream(const UpstreamInfo& info) { m_table.Put(info); }
+
+void Placer::RemoveUpstream(const UpstreamId& id) {
+  const auto index = m_table.Find(id);
+  if (!index) return;
+  m_backfill.OnRemoved(*index);
+  m_table.Remove(id);
+}
 
 void Placer::SetEligible(const UpstreamId& id, bool eligible) {
-  const auto worker = m_workers.find(id);
-  if (worker != m_workers.end()) worker->second.eligible = eligible;
-}
-
-Result<UpstreamId> Placer::Choose(const TaskSpec& spec, Time /*now*/) {
-  const UpstreamId* best = nullptr;
-  std::int64_t best_free = 0;
-  for (const auto& [id, worker] : m_workers) {
-    if (!worker.eligible) continue;
-    const Resources free = worker.info.capacity - worker.used;
-    if (!spec.demand.FitsIn(free)) continue;
-    if (best == nullptr || free.slots > best_free) {
-      best = &id;
-      best_free = free.slots;
+  const auto index = m_table.Find(id);
+  if (index) m_table.SetEligible(*index, eligible);
+}
+
+void Placer::LimitStarts(const DomainId& domain, Time until, std::int64_t starts_per_second, Time now) {
+  const auto index = m_table.FindDomain(domain);
+  if (index) m_ramp.Limit(*index, until, starts_per_second, now);
+}
+
+Result<UpstreamId> Placer::Choose(const TaskSpec& spec, Time now) {
+  const Query query = MakeQuery(spec, now);
+  const std::optional<Index> best = Best(query);
+  if (best) return m_table.id(*best);
+  return Explain(query);
+}
+
+Result<std::vector<UpstreamId>> Placer::ChooseGang(const std::vector<TaskSpec>& members, Time now) {
+  std::vector<Index> held;
+  std::optional<Error> error;
+  for (const TaskSpec& member : members) {
+    const Query query = MakeQuery(member, now);
+    const std::optional<Index> best = Best(query);
+    if (!best) {
+      error = ExplainGang(members, query);
+      break;
     }
+    held.push_back(*best);
+    Hold(*best, member, now);
   }
-  if (best == nullptr) return Error{ErrorId::kNoCapacity, "/demand", "no eligible upstream has enough free capacity"};
-  return *best;
+  for (std::size_t i = 0; i < held.size(); ++i) Unhold(held[i], members[i]);
+  if (error) return *error;
+  std::vector<UpstreamId> chosen;
+  chosen.reserve(held.size());
+  for (const Index index : held) chosen.push_back(m_table.id(index));
+  return chosen;
+}
+
+void Placer::Hold(Index index, const TaskSpec& spec, Time now) {
+  m_table.Use(index, spec.demand);
+  m_backfill.OnStart(index, StableHash(spec.id.value()), spec.demand, ExpectedEnd(spec, now));
+}
+
+void Placer::Unhold(Index index, const TaskSpec& spec) {
+  m_table.Free(index, spec.demand);
+  m_backfill.OnEnd(index, StableHash(spec.id.value()), spec.demand);
 }
 
-void Placer::Reserve(const UpstreamId& id, const TaskSpec& spec, Time /*now*/) {
-  const auto worker = m_workers.find(id);
-  if (worker != m_workers.end()) worker->second.used += spec.demand;
+void Placer::Reserve(const UpstreamId& id, const TaskSpec& spec, Time now) {
+  const auto index = m_table.Find(id);
+  if (!index) return;
+  Hold(*index, spec, now);
+  CancelStart(spec);
+  m_ramp.OnStart(m_table.row(*index).domain, now);
+  if (spec.work_class == WorkClass::kService) m_spread.Add(SpreadCounts::KeyOf(spec), m_table.row(*index), 1);
 }
 
 void Placer::Release(const UpstreamId& id, const TaskSpec& spec, Time /*now*/) {
-  const auto worker = m_workers.find(id);
-  if (worker != m_workers.end()) worker->second.used -= spec.demand;
+  const auto index = m_table.Find(id);
+  if (!index) return;
+  Unhold(*index, spec);
+  if (spec.work_class == WorkClass::kService) m_spread.Add(SpreadCounts::KeyOf(spec), m_table.row(*index), -1);
 }
 
+std::optional<Time> Placer::ReserveStart(const TaskSpec& spec, Time now) {
+  std::optional<Index> domain;
+  if (!spec.domain.empty()) {
+    domain = m_table.FindDomain(spec.domain);
+    if (!domain) return std::nullopt;
+  }
+  const auto reservation = m_backfill.Reserve(m_table, StableHash(spec.id.value()), spec.demand, domain, now);
+  if (!reservation) return std::nullopt;
+  return reservation->start;
+}
+
+void Placer::CancelStart(const TaskSpec& spec) { m_backfill.Cancel(StableHash(spec.id.value())); }
+
 Resources Placer::Free() const {
   Resources free;
-  for (const auto& [id, worker] : m_workers) {
-    if (worker.eligible) free += worker.info.capacity - worker.used;
+  for (Index index = 0; index < m_table.slots(); ++index) {
+    if (m_table.row(index).open_slots > 0) free += NotNegative(m_table.open(index));
   }
   return free;
 }
 
 Resources Placer::LargestFree() const {
   Resources largest;
-  for (const auto& [id, worker] : m_workers) {
-    const Resources free = worker.info.capacity - worker.used;
-    if (worker.eligible && free.cpu_millis > largest.cpu_millis) largest = free;
+  for (Index index = 0; index < m_table.slots(); ++index) {
+    const Resources& free = m_table.open(index);
+    if (free.cpu_millis > largest.cpu_millis) largest = NotNegative(free);
   }
   return largest;
 }
 
-Resources Placer::Capacity() const {
-  Resources capacity;
-  for (const auto& [id, worker] : m_workers) capacity += worker.info.capacity;
-  return capacity;
+Resources Placer::Used(const UpstreamId& id) const {
+  const auto index = m_table.Find(id);
+  return index ? m_table.row(*index).used : Resources{};
 }
 
-Resources Placer::Used(const UpstreamId& id) const {
-  const auto worker = m_workers.find(id);
-  return worker == m_workers.end() ? Resources{} : worker->second.used;
+std::int64_t Placer::ReservedPreviews() const { return m_table.open_slots() * m_headroom_permille / kPermille; }
+
+std::size_t Placer::MemoryBytes() const {
+  return sizeof(*this) + m_table.MemoryBytes() + m_backfill.MemoryBytes() + m_spread.MemoryBytes();
+}
+
+const PlacementPolicy& Placer::PolicyOf(const TaskSpec& spec) const {
+  return m_policies.at(static_cast<std::size_t>(spec.work_class));
+}
+
+Placer::Query Placer::MakeQuery(const TaskSpec& spec, Time now) const {
+  const PlacementPolicy& policy = PolicyOf(spec);
+  Query query{spec, policy, {}, 0, now, {}, false};
+  if (!spec.domain.empty()) query.domain = m_table.FindDomain(spec.domain);
+  if (!m_backfill.reservations().empty()) {
+    query.task = StableHash(spec.id.value());
+    query.expected_end = ExpectedEnd(spec, now);
+  }
+  query.keeps_headroom = spec.work_class != WorkClass::kPreview && KeepsHeadroom(policy);
+  return query;
+}
+
+std::optional<Placer::Index> Placer::Best(const Query& query) {
+  if (!query.spec.domain.empty() && !query.domain) return std::nullopt;
+  if (std::holds_alternative<SpreadPolicy>(query.policy) && !query.domain) return BestSpread(query);
+  return Search(query, FirstGroup(query));
+}
+
+std::optional<Placer::Index> Placer::BestSpread(const Query& query) {
+  const SpreadCounts::ServiceKey service = SpreadCounts::KeyOf(query.spec);
+  std::vector<Index> domains(m_table.domain_count());
+  std::iota(domains.begin(), domains.end(), 0);
+  std::stable_sort(domains.begin(), domains.end(),
+                   [&](Index a, Index b) { return m_spread.InDomain(service, a) < m_spread.InDomain(service, b); });
+  Query in_domain = query;
+  for (const Index domain : domains) {
+    in_domain.domain = domain;
+    const std::optional<Index> best = Search(in_domain, FirstGroup(in_domain));
+    if (best) return best;
+  }
+  return std::nullopt;
+}
+
+std::optional<Placer::Index> Placer::Search(const Query& query, Index first_group) {
+  const auto groups = static_cast<Index>(m_table.groups().size());
+  Sample sample;
+  sample.limit = SampleLimit(query.policy);
+  Index group = first_group;
+  for (Index visited = 0; visited < groups; ++visited) {
+    if (GroupMayFit(m_table.groups()[group], query)) VisitGroup(group, query, sample);
+    if (sample.taken >= sample.limit || sample.passed_over >= kMaxPassedOver) break;
+    if (++group == groups) group = 0;
+  }
+  return sample.best;
+}
+
+Placer::Index Placer::FirstGroup(const Query& query) {
+  const auto groups = static_cast<Index>(m_table.groups().size());
+  if (groups < 2 || !StartsAtRandom(query.policy)) return 0;
+  return static_cast<Index>(m_random() % groups);
+}
+
+bool Placer::GroupMayFit(const WorkerTable::Group& group, const Query& query) const {
+  if (!query.spec.demand.FitsIn(group.max_free)) return false;
+  if (query.domain && *query.domain != group.domain) return false;
+  return m_ramp.MayStart(group.domain, query.now);
+}
+
+void Placer::VisitGroup(Index group, const Query& query, Sample& sample) {
+  const Index first = group * WorkerTable::kGroupSize;
+  for (Index index = first; index < first + WorkerTable::kGroupSize; ++index) {
+    if (!query.spec.demand.FitsIn(m_table.open(index))) continue;
+    if (!IsAllowed(index, query)) {
+      if (++sample.passed_over >= kMaxPassedOver) return;
+      continue;
+    }
+    const double score = Score(index, query);
+    if (!sample.best || score > sample.best_score) {
+      sample.best = index;
+      sample.best_score = score;
+    }
+    if (++sample.taken >= sample.limit) return;
+  }
+}
+
+bool Placer::IsAllowed(Index index, const Query& query) const {
+  if (query.keeps_headroom && !LeavesHeadroom(index, query)) return false;
+  if (m_backfill.reservations().empty()) return true;
+  return m_backfill.Allows(index, query.task, query.spec.demand, query.expected_end, query.now);
+}
+
+bool Placer::LeavesHeadroom(Index index, const Query& query) const {
+  const std::int64_t reserved = ReservedPreviews();
+  const std::int64_t units = m_table.row(index).units;
+  if (m_table.open_units() - units >= reserved) return true;
+  const std::int64_t left = m_table.UnitsIn(m_table.open(index) - query.spec.demand);
+  return m_table.open_units() - units + left >= reserved;
+}
+
+double Placer::Score(Index index, const Query& query) {
+  const PlacementScore score{query.spec, m_table.row(index), m_table.open(index), m_spread, m_random};
+  return std::visit(score, query.policy);
+}
+
+Error Placer::Explain(const Query& query) const {
+  if (m_table.size() == 0) return {ErrorId::kNoCapacity, "/demand", "there is no upstream"};
+  if (!query.spec.domain.empty() && !query.domain) {
+    return {ErrorId::kNoCapacity, "/domain", "there is no upstream in the failure domain"};
+  }
+  const std::optional<Error> impossible = Impossible(query);
+  if (impossible) return *impossible;
+  return {ErrorId::kNoCapacity, "/demand", "no eligible upstream has enough free capacity"};
+}
+
+Error Placer::ExplainGang(const std::vector<TaskSpec>& members, const Query& failed) const {
+  const Resources& demand = failed.spec.demand;
+  const auto alike = [&](const TaskSpec& member) { return member.demand == demand; };
+  const auto wanted = std::count_if(members.begin(), members.end(), alike);
+  std::int64_t most = 0;
+  for (const WorkerTable::Shape& shape : m_table.shapes()) {
+    if (failed.domain && *failed.domain != shape.domain) continue;
+    most += shape.workers * CopiesIn(shape.capacity, demand, wanted);
+  }
+  if (most > 0 && most < wanted) {
+    return {ErrorId::kDemandImpossible, "/gang_size", fmt::format("the upstreams hold at most {} such members", most)};
+  }
+  return Explain(failed);
+}
+
+std::optional<Error> Placer::Impossible(const Query& query) const {
+  const std::int64_t slots = m_table.capacity().slots;
+  const std::int64_t reserved = slots * m_headroom_permille / kPermille;
+  if (query.keeps_headroom && query.spec.demand.slots > slots - reserved) {
+    return Error{ErrorId::kDemandImpossible, "/demand/slots", "the other slots are reserved for previews"};
+  }
+  std::vector<Resources> capacities;
+  for (const WorkerTable::Shape& shape : m_table.shapes()) {
+    if (query.domain && *query.domain != shape.domain) continue;
+    if (query.spec.demand.FitsIn(shape.capacity)) return std::nullopt;
+    capacities.push_back(shape.capacity);
+  }
+  if (capacities.empty()) return std::nullopt;
+  return BindingConstraint(query.spec.demand, capacities);
+}
+
+Time Placer::ExpectedEnd(const TaskSpec& spec, Time now) const {
+  if (spec.work_class == WorkClass::kService) return Time::max();
+  const std::int64_t run_ms = m_estimator == nullptr ? spec.declared_run_ms : m_estimator->For(spec).run_ms;
+  // A task without a known run time must not be taken to end before a reserved start.
+  if (run_ms <= 0) return Time::max();
+  return now + std::chrono::milliseconds(run_ms);
 }
 
 }  // namespace jaymast
--- /dev/null
+++ b/src/placement/start_ramp.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "base/time.h"
+#include "placement/worker_table.h"
+
+namespace jaymast {
+
+/// Limits the rate of starts in failure domains that have just come back into service.
+class StartRamp {
+ public:
+  using Index = WorkerTable::Index;
+
+  /// Limits a domain to `starts_per_second` until a point in time. A later call replaces an earlier one.
+  void Limit(Index domain, Time until, std::int64_t starts_per_second, Time now);
+
+  bool MayStart(Index domain, Time now) const;
+  void OnStart(Index domain, Time now);
+
+ private:
+  struct Ramp {
+    Time until;
+    Time next_start;
+    std::int64_t starts_per_second = 1;
+  };
+
+  std::vector<Ramp> m_ramps;  ///< indexed by domain
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/placement/worker_table.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/id.h"
+#include "base/resources.h"
+#include "model/upstream_info.h"
+
+namespace jaymast {
+
+/// Capacity and use of workers in contiguous arrays indexed by small integers.
+///
+/// Workers are stored in groups of one failure domain each. A group keeps the largest free amount of each resource over
+/// its open workers, so that a search passes over a group without looking at its workers.
+class WorkerTable {
+ public:
+  using Index = std::uint32_t;
+
+  static constexpr Index kGroupSize = 16;
+  static constexpr std::size_t kResourceKinds = 4;
+
+  struct Row {
+    Resources capacity;
+    Resources used;
+    std::array<double, kResourceKinds> inverse{};  ///< 1 / capacity, 0 where there is no capacity
+    std::int64_t units = 0;                        ///< previews that would fit, 0 when closed
+    std::int64_t open_slots = 0;                   ///< slots, free or used, 0 when closed
+    std::int64_t tasks = 0;
+    std::int64_t connections = 0;  ///< most tasks at once, 0 when unlimited
+    Index domain = 0;
+    Index rack = 0;
+    bool present = false;
+    bool eligible = false;
+    bool leaving = false;
+  };
+
+  struct Group {
+    Resources max_free;
+    Index domain = 0;
+    Index members = 0;
+  };
+
+  void Put(const UpstreamInfo& info);
+  void Remove(const UpstreamId& id);
+  void SetEligible(Index index, bool eligible);
+
+  void Use(Index index, const Resources& demand);
+  void Free(Index index, const Resources& demand);
+
+  /// Demand of one preview, which is the unit in which headroom is counted.
+  void SetPreviewUnit(const Resources& unit);
+
+  std::optional<Index> Find(const UpstreamId& id) const;
+  std::optional<Index> FindDomain(const DomainId& domain) const;
+  const UpstreamId& id(Index index) const { return m_ids[index]; }
+  const Row& row(Index index) const { return m_rows[index]; }
+
+  /// Free capacity of a worker that may get new tasks. All amounts are negative when it may not.
+  const Resources& open(Index index) const { return m_open[index]; }
+
+  const std::vector<Group>& groups() const { return m_groups; }
+  std::size_t size() const { return m_index.size(); }
+  std::size_t slots() const { return m_rows.size(); }
+  std::size_t domain_count() const { return m_domains.size(); }
+  const Resources& capacity() const { return m_capacity; }
+
+  /// Number of previews that fit into the open workers now.
+  std::int64_t open_units() const { return m_open_units; }
+
+  /// Slots of the open workers, free or used.
+  std::int64_t open_slots() const { return m_open_slots; }
+
+  /// Number of previews that fit into an amount of free capacity.
+  std::int64_t UnitsIn(const Resources& free) const;
+
+  /// Different capacities of the workers with the number of workers of each, for checks of impossible demands.
+  struct Shape {
+    Resources capacity;
+    Index domain = 0;
+    std::int64_t workers = 0;
+  };
+  const std::vector<Shape>& shapes() const { return m_shapes; }
+
+  std::size_t MemoryBytes() const;
+
+ private:
+  Index Allocate(Index domain);
+  Index Intern(std::unordered_map<std::string, Index>& names, const std::string& name);
+  void CountShape(const Row& row, std::int64_t change);
+  void Refresh(Index index);
+  void RefreshGroup(Index group);
+  bool IsOpen(const Row& row) const;
+
+  std::vector<Resources> m_open;
+  std::vector<Row> m_rows;
+  std::vector<UpstreamId> m_ids;
+  std::vector<Group> m_groups;
+  std::vector<Shape> m_shapes;
+  std::unordered_map<UpstreamId, Index> m_index;
+  std::unordered_map<std::string, Index> m_domains;
+  std::unordered_map<std::string, Index> m_racks;
+  Resources m_capacity;
+  Resources m_preview_unit{0, 0, 0, 1};
+  std::int64_t m_open_units = 0;
+  std::int64_t m_open_slots = 0;
+};
+
+}  // namespace jaymast
