--- /dev/null
+++ b/src/placement/progressive_filling.cc
@@ -0,0 +1,82 @@
+#include "placement/progressive_filling.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace jaymast {
+namespace {
+
+/// Parts of capacity below this are rounding errors.
+constexpr double kTolerance = 1e-12;
+
+}  // namespace
+
+ProgressiveFilling::ProgressiveFilling(const Amounts& capacity) : m_capacity(capacity) {}
+
+std::vector<double> ProgressiveFilling::Fill(const std::vector<Claim>& claims) const {
+  std::vector<Team> teams;
+  teams.reserve(claims.size());
+  for (const Claim& claim : claims) teams.push_back(Normalise(claim));
+  Amounts left{1, 1, 1, 1};
+  // Each step satisfies a team or uses up a resource.
+  for (std::size_t step = 0; step < teams.size() + left.size(); ++step) {
+    const Amounts rates = Rates(teams);
+    const double growth = NextStep(teams, rates, left);
+    if (growth == std::numeric_limits<double>::infinity()) break;
+    for (std::size_t i = 0; i < left.size(); ++i) left[i] -= rates[i] * growth;
+    for (Team& team : teams) team.share += team.active ? team.weight * growth : 0.0;
+    Freeze(teams, left);
+  }
+  std::vector<double> shares;
+  shares.reserve(teams.size());
+  for (const Team& team : teams) shares.push_back(team.share);
+  return shares;
+}
+
+ProgressiveFilling::Team ProgressiveFilling::Normalise(const Claim& claim) const {
+  Team team;
+  team.weight = claim.weight;
+  Amounts parts{};
+  bool possible = true;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    if (claim.demand[i] <= 0) continue;
+    possible = possible && m_capacity[i] > 0;
+    parts[i] = m_capacity[i] > 0 ? claim.demand[i] / m_capacity[i] : 0.0;
+    team.wanted = std::max(team.wanted, parts[i]);
+  }
+  team.active = possible && team.wanted > 0;
+  if (!team.active) return team;
+  for (std::size_t i = 0; i < parts.size(); ++i) team.per_unit_share[i] = parts[i] / team.wanted;
+  return team;
+}
+
+ProgressiveFilling::Amounts ProgressiveFilling::Rates(const std::vector<Team>& teams) {
+  Amounts rates{};
+  for (const Team& team : teams) {
+    if (!team.active) continue;
+    for (std::size_t i = 0; i < rates.size(); ++i) rates[i] += team.weight * team.per_unit_share[i];
+  }
+  return rates;
+}
+
+double ProgressiveFilling::NextStep(const std::vector<Team>& teams, const Amounts& rates, const Amounts& left) {
+  double step = std::numeric_limits<double>::infinity();
+  for (const Team& team : teams) {
+    if (team.active) step = std::min(step, (team.wanted - team.share) / team.weight);
+  }
+  for (std::size_t i = 0; i < rates.size(); ++i) {
+    if (rates[i] > 0) step = std::min(step, std::max(left[i], 0.0) / rates[i]);
+  }
+  return step;
+}
+
+void ProgressiveFilling::Freeze(std::vector<Team>& teams, const Amounts& left) {
+  for (Team& team : teams) {
+    if (team.wanted - team.share <= kTolerance) team.active = false;
+    for (std::size_t i = 0; i < left.size(); ++i) {
+      if (left[i] <= kTolerance && team.per_unit_share[i] > 0) team.active = false;
+    }
+  }
+}
+
+}  // namespace jaymast
