--- a/src/placement/estimator.h
+++ b/src/placement/estimator.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
-#include <map>
+#include <list>
 #include <string>
-#include <utility>
+#include <unordered_map>
 
-#include "base/id.h"
 #include "base/resources.h"
 #include "model/task_spec.h"
 
@@ -17,14 +18,51 @@
   Resources size;
 };
 
-/// Learns run time and size per team and kind from finished tasks. Declared values are only a prior.
+/// Learns run time and size per team and kind as 90th percentiles over a window of finished tasks.
+///
+/// Declared values are a prior: they count as a few observations until the window holds enough finished tasks.
 class Estimator {
  public:
+  /// Finished tasks remembered for each team and kind.
+  static constexpr std::size_t kWindow = 64;
+
+  /// Weight of the declared values in observations. With a full prior no longer counted after kTrusted observations.
+  static constexpr std::size_t kPriorWeight = 4;
+
+  /// Number of observations from which the declared values no longer count. A 90th percentile needs at least 10.
+  static constexpr std::size_t kTrusted = 10;
+
+  /// Most kinds remembered over all teams. The kind without a result for the longest time is forgotten first.
+  static constexpr std::size_t kMaxKinds = 4096;
+
   void Record(const TaskSpec& spec, std::int64_t run_ms, const Resources& peak_usage);
   Estimate For(const TaskSpec& spec) const;
 
+  std::size_t MemoryBytes() const;
+
  private:
-  std::map<std::pair<TeamId, std::string>, Estimate> m_longest;
+  struct Observation {
+    std::int64_t run_ms = 0;
+    std::int64_t cpu_millis = 0;
+    std::int64_t memory_mb = 0;
+  };
+
+  struct Kind {
+    std::array<Observation, kWindow> window;
+    std::size_t count = 0;  ///< observations in the window
+    std::size_t next = 0;   ///< position that the next observation overwrites
+    Estimate learned;       ///< quantiles over the window alone
+    std::list<std::string>::iterator age;
+  };
+
+  static std::string KeyOf(const TaskSpec& spec);
+  static std::int64_t Quantile(const Kind& kind, std::int64_t Observation::*member, std::int64_t declared,
+                               std::size_t prior_weight);
+  static Estimate Quantiles(const Kind& kind, const TaskSpec& spec, std::size_t prior_weight);
+  Kind& Touch(const std::string& key);
+
+  std::unordered_map<std::string, Kind> m_kinds;
+  std::list<std::string> m_ages;  ///< keys, the one with the latest result first
 };
 
 }  // namespace jaymast
