--- /dev/null
+++ b/src/placement/admission_queue_offer.cc
@@ -0,0 +1,164 @@
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <limits>
+#include <queue>
+#include <utility>
+
+#include "placement/admission_queue.h"
+#include "placement/fair_share.h"
+
+namespace jaymast {
+namespace {
+
+constexpr std::size_t kRanks = 6;
+
+/// Rank of a class of work in the order of service, indexed by WorkClass. Rank 2 is for tasks that have waited too
+/// long.
+constexpr std::array<int, EnumNames<WorkClass>::kNames.size()> kClassRank = {0, 1, 3, 5, 4};
+constexpr int kStarvedRank = 2;
+
+/// A gang needs capacity on several workers at once and loses to single tasks, so it moves up early.
+constexpr Duration kGangStarvation = std::chrono::minutes(2);
+constexpr Duration kStarvation = std::chrono::minutes(10);
+
+/// Demands remembered as not fitting in one round. Tasks are compared with each of them.
+constexpr std::size_t kMaxFailures = 32;
+
+}  // namespace
+
+/// State of one round of offers.
+struct AdmissionQueue::Round {
+  struct Later {
+    bool operator()(const Cursor& a, const Cursor& b) const { return b.OrderKey() < a.OrderKey(); }
+  };
+
+  Time now;
+  const std::function<OfferOutcome(const WaitingTask&)>& place;
+  std::priority_queue<Cursor, std::vector<Cursor>, Later> cursors;
+  std::array<std::size_t, kRanks> skipped{};
+  std::array<std::size_t, kRanks> failed_offers{};
+  std::vector<Failure> failures;
+  OfferReport report;
+};
+
+void AdmissionQueue::Dispatch(Time now, const std::function<bool(const WaitingTask&)>& place) {
+  Offer(now, [&place](const WaitingTask& task) { return place(task) ? OfferOutcome::kTaken : OfferOutcome::kRefused; });
+}
+
+OfferReport AdmissionQueue::Offer(Time now, const std::function<OfferOutcome(const WaitingTask&)>& place) {
+  Round round{now, place, {}, {}, {}, {}, {}};
+  m_offering = true;
+  OfferPreferred(round);
+  OfferRanked(round);
+  m_offering = false;
+  m_removed.clear();
+  m_drain_rate.OnTaken(round.report.taken, now);
+  DropEmptyQueues();
+  return round.report;
+}
+
+int AdmissionQueue::RankOf(const SubQueue& queue, Time now) const {
+  if (m_order == QueueOrder::kArrival) return 0;
+  const int rank = kClassRank.at(static_cast<std::size_t>(queue.work_class));
+  if (m_order == QueueOrder::kPriority || rank < kStarvedRank || queue.entries.empty()) return rank;
+  const Duration limit = queue.work_class == WorkClass::kGang ? kGangStarvation : kStarvation;
+  const Time oldest = queue.entries.begin()->first.first;
+  return oldest + limit <= now ? kStarvedRank : rank;
+}
+
+std::optional<AdmissionQueue::Cursor> AdmissionQueue::MakeCursor(const QueueKey& key, SubQueue& queue,
+                                                                 std::optional<Age> after, std::size_t skipped,
+                                                                 Time now) const {
+  const auto next = after ? queue.entries.upper_bound(*after) : queue.entries.begin();
+  if (next == queue.entries.end()) return std::nullopt;
+  return Cursor{RankOf(queue, now), skipped, ScoreOf(key, now), next->first, &key, &queue};
+}
+
+double AdmissionQueue::ScoreOf(const QueueKey& key, Time now) const {
+  return m_order == QueueOrder::kFairShare ? m_fair_share.Score(std::get<TeamId>(key), now) : 0.0;
+}
+
+void AdmissionQueue::OfferPreferred(Round& round) {
+  const std::vector<AttemptId> preferred = m_preferred;
+  for (const AttemptId& id : preferred) {
+    const auto known = m_positions.find(id);
+    if (known == m_positions.end()) {
+      std::erase(m_preferred, id);
+      continue;
+    }
+    const Position position = known->second;
+    OfferEntry(round, *position.queue, position.age);
+  }
+  // A preferred task that does not fit says nothing about tasks without a reserved start.
+  round.failures.clear();
+}
+
+void AdmissionQueue::OfferRanked(Round& round) {
+  for (auto& [key, queue] : m_queues) {
+    const auto cursor = MakeCursor(key, queue, std::nullopt, 0, round.now);
+    if (cursor) round.cursors.push(*cursor);
+  }
+  while (!round.cursors.empty()) {
+    Cursor cursor = round.cursors.top();
+    round.cursors.pop();
+    const double score = ScoreOf(*cursor.key, round.now);
+    if (score > cursor.score) {
+      // The team got capacity through another of its sub-queues.
+      cursor.score = score;
+      round.cursors.push(cursor);
+      continue;
+    }
+    const auto rank = static_cast<std::size_t>(cursor.rank);
+    if (round.skipped[rank] >= kMaxSkipped || round.failed_offers[rank] >= kMaxFailedOffers) continue;
+    const std::size_t passed = OfferAt(round, cursor) ? 0 : 1;
+    round.skipped[rank] += passed;
+    const auto next = MakeCursor(*cursor.key, *cursor.queue, cursor.age, cursor.skipped + passed, round.now);
+    if (next) round.cursors.push(*next);
+  }
+}
+
+bool AdmissionQueue::OfferAt(Round& round, const Cursor& cursor) {
+  const auto found = cursor.queue->entries.find(cursor.age);
+  if (found == cursor.queue->entries.end()) return true;
+  if (IsHopeless(round, *cursor.queue, found->second)) return false;
+  const OfferOutcome outcome = OfferEntry(round, *cursor.queue, cursor.age);
+  if (outcome == OfferOutcome::kTaken) return true;
+  ++round.failed_offers[static_cast<std::size_t>(cursor.rank)];
+  return false;
+}
+
+OfferOutcome AdmissionQueue::OfferEntry(Round& round, SubQueue& queue, const Age& age) {
+  const WaitingTask& task = queue.entries.find(age)->second.task;
+  const AttemptId id = task.id;
+  const OfferOutcome outcome = round.place(task);
+  // The callback may have erased the task, or pushed it again.
+  const auto known = m_positions.find(id);
+  const bool is_same = known != m_positions.end() && known->second.queue == &queue && known->second.age == age;
+  if (outcome == OfferOutcome::kTaken) {
+    ++round.report.taken;
+    if (is_same) TakeOut(Position(known->second));
+    return outcome;
+  }
+  if (outcome == OfferOutcome::kNoCapacity && !round.report.blocked) round.report.blocked = id;
+  if (!is_same || round.failures.size() >= kMaxFailures) return outcome;
+  const Entry& entry = queue.entries.find(age)->second;
+  const SubQueue* only = outcome == OfferOutcome::kRefused ? &queue : nullptr;
+  const bool preview = queue.work_class == WorkClass::kPreview;
+  round.failures.push_back({entry.task.spec.demand, entry.task.spec.domain, entry.run_ms, preview, only});
+  return outcome;
+}
+
+bool AdmissionQueue::IsHopeless(const Round& round, const SubQueue& queue, const Entry& entry) {
+  const bool preview = queue.work_class == WorkClass::kPreview;
+  const TaskSpec& spec = entry.task.spec;
+  return std::any_of(round.failures.begin(), round.failures.end(), [&](const Failure& failure) {
+    if (failure.only != nullptr && failure.only != &queue) return false;
+    // Previews may use capacity that is closed to other work.
+    if (preview && !failure.preview) return false;
+    if (!failure.domain.empty() && failure.domain != spec.domain) return false;
+    return entry.run_ms >= failure.run_ms && failure.demand.FitsIn(spec.demand);
+  });
+}
+
+}  // namespace jaymast
