Check fit with packed resources and bound the search at the headroom

Cause: at 1,100 workers, half of the time went to workers of groups whose largest amounts come from different workers, and to the headroom check of every worker with room once the headroom was used up. Change: amounts are packed into one word for a first check, the search gives up after 16 workers that the headroom excludes, and 16 instead of 32 workers are scored, except for services, which need 32 to cover their racks.

--- a/src/placement/placement_score.cc
+++ b/src/placement/placement_score.cc
@@ -14,8 +14,11 @@
 
 constexpr std::size_t kKinds = WorkerTable::kResourceKinds;
 
-/// Workers scored per decision by policies that compare. Larger samples packed no better in the policy benchmark.
-constexpr std::size_t kSample = 32;
+/// Workers scored for one decision by policies that compare.
+constexpr std::size_t kSample = 16;
+
+/// Workers scored for a replica of a service. A smaller sample covers two racks of eight workers only.
+constexpr std::size_t kSpreadSample = 32;
 
 /// Workers scored for a preview, which needs a lightly loaded worker and not the best one.
 constexpr std::size_t kPreviewSample = 8;
@@ -119,7 +122,7 @@
 std::size_t SampleLimit(const PlacementPolicy& policy) {
   struct Visitor {
     std::size_t operator()(const BestFitPolicy&) const { return kSample; }
-    std::size_t operator()(const SpreadPolicy&) const { return kSample; }
+    std::size_t operator()(const SpreadPolicy&) const { return kSpreadSample; }
     std::size_t operator()(const HeadroomPolicy&) const { return kPreviewSample; }
     std::size_t operator()(const GangPolicy&) const { return kSample; }
     std::size_t operator()(const FirstFitPolicy&) const { return 1; }
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -14,9 +14,9 @@
 namespace jaymast {
 namespace {
 
-/// Most workers that fit and that a reservation or the headroom excludes, before a search gives up. Without a bound, a
-/// decision on a full cluster looks at every worker.
-constexpr std::size_t kMaxPassedOver = 64;
+/// Most workers that fit and that the headroom excludes, before a search gives up. When the headroom is used up, nearly
+/// every worker that fits is excluded, and a search without this bound looks at all of them.
+constexpr std::size_t kMaxExcluded = 16;
 
 constexpr std::int64_t kPermille = 1000;
 
@@ -158,7 +158,7 @@
 
 Placer::Query Placer::MakeQuery(const TaskSpec& spec, Time now) const {
   const PlacementPolicy& policy = PolicyOf(spec);
-  Query query{spec, policy, {}, 0, now, {}, false};
+  Query query{spec, policy, PackedResources::OfDemand(spec.demand), {}, 0, now, {}, false};
   if (!spec.domain.empty()) query.domain = m_table.FindDomain(spec.domain);
   if (!m_backfill.reservations().empty()) {
     query.task = StableHash(spec.id.value());
@@ -171,7 +171,9 @@
 std::optional<Placer::Index> Placer::Best(const Query& query) {
   if (!query.spec.domain.empty() && !query.domain) return std::nullopt;
   if (std::holds_alternative<SpreadPolicy>(query.policy) && !query.domain) return BestSpread(query);
-  return Search(query, FirstGroup(query));
+  Sample sample;
+  Search(query, sample);
+  return sample.best;
 }
 
 std::optional<Placer::Index> Placer::BestSpread(const Query& query) {
@@ -181,25 +183,24 @@
   std::stable_sort(domains.begin(), domains.end(),
                    [&](Index a, Index b) { return m_spread.InDomain(service, a) < m_spread.InDomain(service, b); });
   Query in_domain = query;
+  Sample sample;
   for (const Index domain : domains) {
     in_domain.domain = domain;
-    const std::optional<Index> best = Search(in_domain, FirstGroup(in_domain));
-    if (best) return best;
+    Search(in_domain, sample);
+    if (sample.best || sample.excluded >= kMaxExcluded) break;
   }
-  return std::nullopt;
+  return sample.best;
 }
 
-std::optional<Placer::Index> Placer::Search(const Query& query, Index first_group) {
+void Placer::Search(const Query& query, Sample& sample) {
   const auto groups = static_cast<Index>(m_table.groups().size());
-  Sample sample;
-  sample.limit = SampleLimit(query.policy);
-  Index group = first_group;
+  const std::size_t limit = SampleLimit(query.policy);
+  Index group = FirstGroup(query);
   for (Index visited = 0; visited < groups; ++visited) {
-    if (GroupMayFit(m_table.groups()[group], query)) VisitGroup(group, query, sample);
-    if (sample.taken >= sample.limit || sample.passed_over >= kMaxPassedOver) break;
+    if (GroupMayFit(m_table.groups()[group], query)) VisitGroup(group, query, limit, sample);
+    if (sample.taken >= limit || sample.excluded >= kMaxExcluded) return;
     if (++group == groups) group = 0;
   }
-  return sample.best;
 }
 
 Placer::Index Placer::FirstGroup(const Query& query) {
@@ -209,30 +210,30 @@
 }
 
 bool Placer::GroupMayFit(const WorkerTable::Group& group, const Query& query) const {
-  if (!query.spec.demand.FitsIn(group.max_free)) return false;
+  if (!query.packed_demand.MayFitIn(group.max_free)) return false;
   if (query.domain && *query.domain != group.domain) return false;
   return m_ramp.MayStart(group.domain, query.now);
 }
 
-void Placer::VisitGroup(Index group, const Query& query, Sample& sample) {
+void Placer::VisitGroup(Index group, const Query& query, std::size_t limit, Sample& sample) {
   const Index first = group * WorkerTable::kGroupSize;
   for (Index index = first; index < first + WorkerTable::kGroupSize; ++index) {
-    if (!query.spec.demand.FitsIn(m_table.open(index))) continue;
-    if (!IsAllowed(index, query)) {
-      if (++sample.passed_over >= kMaxPassedOver) return;
+    if (!m_table.Fits(index, query.spec.demand, query.packed_demand)) continue;
+    if (query.keeps_headroom && !LeavesHeadroom(index, query)) {
+      if (++sample.excluded >= kMaxExcluded) return;
       continue;
     }
+    if (!LeavesReservedStart(index, query)) continue;
     const double score = Score(index, query);
     if (!sample.best || score > sample.best_score) {
       sample.best = index;
       sample.best_score = score;
     }
-    if (++sample.taken >= sample.limit) return;
+    if (++sample.taken >= limit) return;
   }
 }
 
-bool Placer::IsAllowed(Index index, const Query& query) const {
-  if (query.keeps_headroom && !LeavesHeadroom(index, query)) return false;
+bool Placer::LeavesReservedStart(Index index, const Query& query) const {
   if (m_backfill.reservations().empty()) return true;
   return m_backfill.Allows(index, query.task, query.spec.demand, query.expected_end, query.now);
 }
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -99,6 +99,7 @@
   struct Query {
     const TaskSpec& spec;
     const PlacementPolicy& policy;
+    PackedResources packed_demand;
     std::optional<Index> domain;
     Backfill::TaskHash task = 0;
     Time now;
@@ -108,9 +109,8 @@
 
   /// Candidates found so far.
   struct Sample {
-    std::size_t limit = 0;
     std::size_t taken = 0;
-    std::size_t passed_over = 0;  ///< workers with room that a reservation or the headroom excludes
+    std::size_t excluded = 0;  ///< workers with room that the headroom excludes
     std::optional<Index> best;
     double best_score = 0;
   };
@@ -119,11 +119,11 @@
   Query MakeQuery(const TaskSpec& spec, Time now) const;
   std::optional<Index> Best(const Query& query);
   std::optional<Index> BestSpread(const Query& query);
-  std::optional<Index> Search(const Query& query, Index first_group);
+  void Search(const Query& query, Sample& sample);
   Index FirstGroup(const Query& query);
   bool GroupMayFit(const WorkerTable::Group& group, const Query& query) const;
-  void VisitGroup(Index group, const Query& query, Sample& sample);
-  bool IsAllowed(Index index, const Query& query) const;
+  void VisitGroup(Index group, const Query& query, std::size_t limit, Sample& sample);
+  bool LeavesReservedStart(Index index, const Query& query) const;
   bool LeavesHeadroom(Index index, const Query& query) const;
   double Score(Index index, const Query& query);
   void Hold(Index index, const TaskSpec& spec, Time now);
--- a/src/placement/worker_table.cc
+++ b/src/placement/worker_table.cc
@@ -113,7 +113,7 @@
 std::size_t WorkerTable::MemoryBytes() const {
   constexpr std::size_t kHashNodeBytes = 64;  // a node with its key, an index and a bucket pointer
   const std::size_t names = m_index.size() + m_domains.size() + m_racks.size();
-  return m_open.capacity() * sizeof(Resources) + m_rows.capacity() * sizeof(Row) +
+  return m_open.capacity() * (sizeof(Resources) + sizeof(PackedResources)) + m_rows.capacity() * sizeof(Row) +
          m_ids.capacity() * sizeof(UpstreamId) + m_groups.capacity() * sizeof(Group) +
          m_shapes.capacity() * sizeof(Shape) + names * kHashNodeBytes;
 }
@@ -127,10 +127,11 @@
     return index;
   }
   const auto index = static_cast<Index>(m_rows.size());
-  m_groups.push_back({kClosed, domain, 1});
+  m_groups.push_back({{}, domain, 1});
   m_rows.resize(index + kGroupSize);
   m_ids.resize(index + kGroupSize);
   m_open.resize(index + kGroupSize, kClosed);
+  m_packed.resize(index + kGroupSize);
   return index;
 }
 
@@ -153,6 +154,7 @@
   Row& row = m_rows[index];
   const bool is_open = IsOpen(row);
   m_open[index] = is_open ? row.capacity - row.used : kClosed;
+  m_packed[index] = is_open ? PackedResources::OfFree(m_open[index]) : PackedResources();
   m_open_units -= row.units;
   m_open_slots -= row.open_slots;
   row.units = is_open ? UnitsIn(m_open[index]) : 0;
@@ -166,7 +168,7 @@
   Resources largest = kClosed;
   const Index first = group * kGroupSize;
   for (Index index = first; index < first + kGroupSize; ++index) RaiseTo(largest, m_open[index]);
-  m_groups[group].max_free = largest;
+  m_groups[group].max_free = PackedResources::OfFree(largest);
 }
 
 bool WorkerTable::IsOpen(const Row& row) const {
--- a/src/placement/worker_table.h
+++ b/src/placement/worker_table.h
@@ -11,6 +11,7 @@
 #include "base/id.h"
 #include "base/resources.h"
 #include "model/upstream_info.h"
+#include "placement/packed_resources.h"
 
 namespace jaymast {
 
@@ -41,7 +42,7 @@
   };
 
   struct Group {
-    Resources max_free;
+    PackedResources max_free;
     Index domain = 0;
     Index members = 0;
   };
@@ -64,6 +65,11 @@
   /// Free capacity of a worker that may get new tasks. All amounts are negative when it may not.
   const Resources& open(Index index) const { return m_open[index]; }
 
+  /// Whether a demand fits into the free capacity of a worker that may get new tasks.
+  bool Fits(Index index, const Resources& demand, PackedResources packed_demand) const {
+    return packed_demand.MayFitIn(m_packed[index]) && demand.FitsIn(m_open[index]);
+  }
+
   const std::vector<Group>& groups() const { return m_groups; }
   std::size_t size() const { return m_index.size(); }
   std::size_t slots() const { return m_rows.size(); }
@@ -97,6 +103,7 @@
   void RefreshGroup(Index group);
   bool IsOpen(const Row& row) const;
 
+  std::vector<PackedResources> m_packed;
   std::vector<Resources> m_open;
   std::vector<Row> m_rows;
   std::vector<UpstreamId> m_ids;
