Offer several tasks of a team below its share before the next team has a turn

Cause: a team whose first task did not fit lost its turn, and demands that did not fit were offered again whenever the expected run times differed. Change: sub-queues are served by share first, up to 32 tasks each; a demand that failed excludes larger ones whatever their run time, unless reserved capacity was the reason; a round can be limited to previews and urgent tasks.

--- a/src/apps/policy_simulation.h
+++ b/src/apps/policy_simulation.h
@@ -114,6 +114,7 @@
   static constexpr double kUrgentPart = 0.03;
   static constexpr double kGangPart = 0.1;
   static constexpr double kMeanBurst = 40;  ///< batch tasks that arrive at once, as one order
+  static constexpr Duration kFullRoundInterval = std::chrono::milliseconds(20);
   static constexpr Duration kCheckpointCost = std::chrono::seconds(2);
   static constexpr std::int64_t kTickMicros = 1'000;  ///< events are handled on ticks of one millisecond
 
@@ -214,7 +215,6 @@
     ++m_waiting[task.spec.team];
     m_tasks[task.spec.id] = std::move(task);
     m_queue.Push(std::move(waiting));
-    m_changed = true;
   }
 
   static Resources Total(const TaskSpec& spec) {
@@ -232,13 +232,16 @@
     return members;
   }
 
+  /// Interactive work is offered on every tick, and all work at a bounded rate.
   void OfferRound() {
-    if (!m_changed) return;
-    m_changed = false;
+    const bool is_full = m_now >= m_next_full_round;
+    const auto place = [this](const WaitingTask& task) { return Place(task); };
     const auto start = std::chrono::steady_clock::now();
-    const OfferReport report = m_queue.Offer(m_now, [this](const WaitingTask& task) { return Place(task); });
+    const OfferReport report = is_full ? m_queue.Offer(m_now, place) : m_queue.OfferInteractive(m_now, place);
     const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - start;
     if (IsMeasured()) m_result.round_us.push_back(took.count());
+    if (!is_full) return;
+    m_next_full_round = m_now + kFullRoundInterval;
     m_blocked = report.blocked;
   }
 
@@ -247,11 +250,11 @@
     if (waiting.spec.gang_size > 0) {
       running.members = Members(waiting.spec);
       auto chosen = m_placer.ChooseGang(running.members, m_now);
-      if (!chosen) return OfferOutcome::kNoCapacity;
+      if (!chosen) return OutcomeOf(chosen.error());
       running.upstreams = std::move(*chosen);
     } else {
       const auto chosen = m_placer.Choose(waiting.spec, m_now);
-      if (!chosen) return OfferOutcome::kNoCapacity;
+      if (!chosen) return OutcomeOf(chosen.error());
       running.members.push_back(waiting.spec);
       running.upstreams.push_back(*chosen);
     }
@@ -259,6 +262,10 @@
     return OfferOutcome::kTaken;
   }
 
+  static OfferOutcome OutcomeOf(const Error& error) {
+    return error.path == "/declared_run_ms" ? OfferOutcome::kReserved : OfferOutcome::kNoCapacity;
+  }
+
   void Start(Running running, const WaitingTask& waiting) {
     for (std::size_t i = 0; i < running.members.size(); ++i) {
       m_placer.Reserve(running.upstreams[i], running.members[i], m_now);
@@ -301,7 +308,6 @@
       m_placer.Release(running.upstreams[i], running.members[i], m_now);
     }
     m_shares.Remove(running.task.spec.team, Total(running.task.spec), m_now);
-    m_changed = true;
   }
 
   bool IsMeasured() const { return m_now >= m_measure_from; }
@@ -421,7 +427,7 @@
   SimulationResult m_result;
   Time m_now = TimeFromMicros(1'000'000);
   Time m_measure_from;
-  bool m_changed = false;
+  Time m_next_full_round;
   bool m_domain_is_out = false;
   std::optional<AttemptId> m_blocked;
   std::uint64_t m_order = 0;
--- a/src/placement/admission_queue.h
+++ b/src/placement/admission_queue.h
@@ -35,6 +35,7 @@
 enum class OfferOutcome {
   kTaken,
   kNoCapacity,  ///< does not fit now; equal and larger demands need not be offered
+  kReserved,    ///< capacity is reserved for another task; shorter tasks may fit
   kRefused,     ///< not placed for a reason that concerns its team only, such as the team's limit
 };
 
@@ -58,7 +59,10 @@
 class AdmissionQueue {
  public:
   /// Tasks looked at and not taken in one round, for each rank of service. Bounds the cost of a round on a long queue.
-  static constexpr std::size_t kMaxSkipped = 1024;
+  static constexpr std::size_t kMaxSkipped = 4096;
+
+  /// The same for each sub-queue. A team below its share gets this many tries before the next team has a turn.
+  static constexpr std::size_t kMaxSkippedOfQueue = 32;
 
   /// Tasks offered and not taken in one round, for each rank of service.
   static constexpr std::size_t kMaxFailedOffers = 128;
@@ -86,6 +90,9 @@
   /// As Dispatch. Tasks that do not fit do not delay the smaller ones behind them.
   OfferReport Offer(Time now, const std::function<OfferOutcome(const WaitingTask&)>& place);
 
+  /// As Offer, for previews and urgent tasks only. Costs little, so that it can run whenever such a task arrives.
+  OfferReport OfferInteractive(Time now, const std::function<OfferOutcome(const WaitingTask&)>& place);
+
   /// Offers a task before all others from now on, because capacity is reserved for it.
   void Prefer(const AttemptId& id);
 
@@ -126,7 +133,7 @@
     const QueueKey* key = nullptr;
     SubQueue* queue = nullptr;
 
-    auto OrderKey() const { return std::tie(rank, skipped, score, age); }
+    auto OrderKey() const { return std::tie(rank, score, age); }
   };
   /// A demand that did not fit in this round.
   struct Failure {
@@ -147,9 +154,12 @@
   std::optional<Cursor> MakeCursor(const QueueKey& key, SubQueue& queue, std::optional<Age> after, std::size_t skipped,
                                    Time now) const;
   double ScoreOf(const QueueKey& key, Time now) const;
+  OfferReport Run(Round& round, bool interactive_only);
   void OfferPreferred(Round& round);
+  void CollectCursors(Round& round, bool interactive_only);
   void OfferRanked(Round& round);
   bool OfferAt(Round& round, const Cursor& cursor);
+  static void Remember(Round& round, Failure failure);
   OfferOutcome OfferEntry(Round& round, SubQueue& queue, const Age& age);
   static bool IsHopeless(const Round& round, const SubQueue& queue, const Entry& entry);
   void DropEmptyQueues();
--- a/src/placement/admission_queue_offer.cc
+++ b/src/placement/admission_queue_offer.cc
@@ -48,12 +48,22 @@
 
 OfferReport AdmissionQueue::Offer(Time now, const std::function<OfferOutcome(const WaitingTask&)>& place) {
   Round round{now, place, {}, {}, {}, {}, {}};
+  return Run(round, false);
+}
+
+OfferReport AdmissionQueue::OfferInteractive(Time now, const std::function<OfferOutcome(const WaitingTask&)>& place) {
+  Round round{now, place, {}, {}, {}, {}, {}};
+  return Run(round, true);
+}
+
+OfferReport AdmissionQueue::Run(Round& round, bool interactive_only) {
   m_offering = true;
-  OfferPreferred(round);
+  if (!interactive_only) OfferPreferred(round);
+  CollectCursors(round, interactive_only);
   OfferRanked(round);
   m_offering = false;
   m_removed.clear();
-  m_drain_rate.OnTaken(round.report.taken, now);
+  m_drain_rate.OnTaken(round.report.taken, round.now);
   DropEmptyQueues();
   return round.report;
 }
@@ -94,11 +104,16 @@
   round.failures.clear();
 }
 
-void AdmissionQueue::OfferRanked(Round& round) {
+void AdmissionQueue::CollectCursors(Round& round, bool interactive_only) {
   for (auto& [key, queue] : m_queues) {
+    // The keys are in order of class, and the interactive classes are the first two.
+    if (interactive_only && queue.work_class > WorkClass::kUrgent) break;
     const auto cursor = MakeCursor(key, queue, std::nullopt, 0, round.now);
     if (cursor) round.cursors.push(*cursor);
   }
+}
+
+void AdmissionQueue::OfferRanked(Round& round) {
   while (!round.cursors.empty()) {
     Cursor cursor = round.cursors.top();
     round.cursors.pop();
@@ -111,6 +126,7 @@
     }
     const auto rank = static_cast<std::size_t>(cursor.rank);
     if (round.skipped[rank] >= kMaxSkipped || round.failed_offers[rank] >= kMaxFailedOffers) continue;
+    if (cursor.skipped >= kMaxSkippedOfQueue) continue;
     const std::size_t passed = OfferAt(round, cursor) ? 0 : 1;
     round.skipped[rank] += passed;
     const auto next = MakeCursor(*cursor.key, *cursor.queue, cursor.age, cursor.skipped + passed, round.now);
@@ -140,15 +156,27 @@
     if (is_same) TakeOut(Position(known->second));
     return outcome;
   }
-  if (outcome == OfferOutcome::kNoCapacity && !round.report.blocked) round.report.blocked = id;
-  if (!is_same || round.failures.size() >= kMaxFailures) return outcome;
+  const bool lacks_capacity = outcome == OfferOutcome::kNoCapacity || outcome == OfferOutcome::kReserved;
+  if (lacks_capacity && !round.report.blocked) round.report.blocked = id;
+  if (!is_same) return outcome;
   const Entry& entry = queue.entries.find(age)->second;
-  const SubQueue* only = outcome == OfferOutcome::kRefused ? &queue : nullptr;
-  const bool preview = queue.work_class == WorkClass::kPreview;
-  round.failures.push_back({entry.task.spec.demand, entry.task.spec.domain, entry.run_ms, preview, only});
+  Failure failure{entry.task.spec.demand, entry.task.spec.domain, 0, queue.work_class == WorkClass::kPreview, nullptr};
+  if (outcome == OfferOutcome::kReserved) failure.run_ms = entry.run_ms;
+  if (outcome == OfferOutcome::kRefused) failure.only = &queue;
+  Remember(round, std::move(failure));
   return outcome;
 }
 
+void AdmissionQueue::Remember(Round& round, Failure failure) {
+  // A smaller demand that failed makes the larger ones redundant.
+  std::erase_if(round.failures, [&failure](const Failure& other) {
+    const bool same_scope = failure.only == other.only && failure.domain == other.domain;
+    const bool covers = failure.preview >= other.preview && failure.run_ms <= other.run_ms;
+    return same_scope && covers && failure.demand.FitsIn(other.demand);
+  });
+  if (round.failures.size() < kMaxFailures) round.failures.push_back(std::move(failure));
+}
+
 bool AdmissionQueue::IsHopeless(const Round& round, const SubQueue& queue, const Entry& entry) {
   const bool preview = queue.work_class == WorkClass::kPreview;
   const TaskSpec& spec = entry.task.spec;
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -59,9 +59,9 @@
 
 Result<UpstreamId> Placer::Choose(const TaskSpec& spec, Time now) {
   const Query query = MakeQuery(spec, now);
-  const std::optional<Index> best = Best(query);
-  if (best) return m_table.id(*best);
-  return Explain(query);
+  const Sample sample = TakeSample(query);
+  if (sample.best) return m_table.id(*sample.best);
+  return Explain(query, sample);
 }
 
 Result<std::vector<UpstreamId>> Placer::ChooseGang(const std::vector<TaskSpec>& members, Time now) {
@@ -69,13 +69,13 @@
   std::optional<Error> error;
   for (const TaskSpec& member : members) {
     const Query query = MakeQuery(member, now);
-    const std::optional<Index> best = Best(query);
-    if (!best) {
-      error = ExplainGang(members, query);
+    const Sample sample = TakeSample(query);
+    if (!sample.best) {
+      error = ExplainGang(members, query, sample);
       break;
     }
-    held.push_back(*best);
-    Hold(*best, member, now);
+    held.push_back(*sample.best);
+    Hold(*sample.best, member, now);
   }
   for (std::size_t i = 0; i < held.size(); ++i) Unhold(held[i], members[i]);
   if (error) return *error;
@@ -168,28 +168,29 @@
   return query;
 }
 
-std::optional<Placer::Index> Placer::Best(const Query& query) {
-  if (!query.spec.domain.empty() && !query.domain) return std::nullopt;
-  if (std::holds_alternative<SpreadPolicy>(query.policy) && !query.domain) return BestSpread(query);
+Placer::Sample Placer::TakeSample(const Query& query) {
   Sample sample;
-  Search(query, sample);
-  return sample.best;
+  if (!query.spec.domain.empty() && !query.domain) return sample;
+  if (std::holds_alternative<SpreadPolicy>(query.policy) && !query.domain) {
+    SearchDomains(query, sample);
+  } else {
+    Search(query, sample);
+  }
+  return sample;
 }
 
-std::optional<Placer::Index> Placer::BestSpread(const Query& query) {
+void Placer::SearchDomains(const Query& query, Sample& sample) {
   const SpreadCounts::ServiceKey service = SpreadCounts::KeyOf(query.spec);
   std::vector<Index> domains(m_table.domain_count());
   std::iota(domains.begin(), domains.end(), 0);
   std::stable_sort(domains.begin(), domains.end(),
                    [&](Index a, Index b) { return m_spread.InDomain(service, a) < m_spread.InDomain(service, b); });
   Query in_domain = query;
-  Sample sample;
   for (const Index domain : domains) {
     in_domain.domain = domain;
     Search(in_domain, sample);
-    if (sample.best || sample.excluded >= kMaxExcluded) break;
+    if (sample.best || sample.excluded >= kMaxExcluded) return;
   }
-  return sample.best;
 }
 
 void Placer::Search(const Query& query, Sample& sample) {
@@ -223,7 +224,10 @@
       if (++sample.excluded >= kMaxExcluded) return;
       continue;
     }
-    if (!LeavesReservedStart(index, query)) continue;
+    if (!LeavesReservedStart(index, query)) {
+      sample.meets_reservation = true;
+      continue;
+    }
     const double score = Score(index, query);
     if (!sample.best || score > sample.best_score) {
       sample.best = index;
@@ -251,17 +255,21 @@
   return std::visit(score, query.policy);
 }
 
-Error Placer::Explain(const Query& query) const {
+Error Placer::Explain(const Query& query, const Sample& sample) const {
   if (m_table.size() == 0) return {ErrorId::kNoCapacity, "/demand", "there is no upstream"};
   if (!query.spec.domain.empty() && !query.domain) {
     return {ErrorId::kNoCapacity, "/domain", "there is no upstream in the failure domain"};
   }
+  if (sample.meets_reservation) {
+    return {ErrorId::kNoCapacity, "/declared_run_ms",
+            "free capacity is reserved for a task that starts before the end"};
+  }
   const std::optional<Error> impossible = Impossible(query);
   if (impossible) return *impossible;
   return {ErrorId::kNoCapacity, "/demand", "no eligible upstream has enough free capacity"};
 }
 
-Error Placer::ExplainGang(const std::vector<TaskSpec>& members, const Query& failed) const {
+Error Placer::ExplainGang(const std::vector<TaskSpec>& members, const Query& failed, const Sample& sample) const {
   const Resources& demand = failed.spec.demand;
   const auto alike = [&](const TaskSpec& member) { return member.demand == demand; };
   const auto wanted = std::count_if(members.begin(), members.end(), alike);
@@ -273,7 +281,7 @@
   if (most > 0 && most < wanted) {
     return {ErrorId::kDemandImpossible, "/gang_size", fmt::format("the upstreams hold at most {} such members", most)};
   }
-  return Explain(failed);
+  return Explain(failed, sample);
 }
 
 std::optional<Error> Placer::Impossible(const Query& query) const {
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -59,7 +59,8 @@
 
   /// Chooses an upstream without reserving it.
   /// @return the upstream, or an error with the path of the binding constraint: kNoCapacity when the task may fit
-  /// later, kDemandImpossible when no upstream of this placer could hold it even if it were empty
+  /// later (path /declared_run_ms when a shorter task would fit before a reserved start), kDemandImpossible when no
+  /// upstream of this placer could hold it even if it were empty
   /// Complexity: bounded by the sample, plus one comparison for each 16 workers.
   Result<UpstreamId> Choose(const TaskSpec& spec, Time now);
 
@@ -110,15 +111,16 @@
   /// Candidates found so far.
   struct Sample {
     std::size_t taken = 0;
-    std::size_t excluded = 0;  ///< workers with room that the headroom excludes
+    std::size_t excluded = 0;        ///< workers with room that the headroom excludes
+    bool meets_reservation = false;  ///< a worker with room has a reserved start that the task would delay
     std::optional<Index> best;
     double best_score = 0;
   };
 
   const PlacementPolicy& PolicyOf(const TaskSpec& spec) const;
   Query MakeQuery(const TaskSpec& spec, Time now) const;
-  std::optional<Index> Best(const Query& query);
-  std::optional<Index> BestSpread(const Query& query);
+  Sample TakeSample(const Query& query);
+  void SearchDomains(const Query& query, Sample& sample);
   void Search(const Query& query, Sample& sample);
   Index FirstGroup(const Query& query);
   bool GroupMayFit(const WorkerTable::Group& group, const Query& query) const;
@@ -128,8 +130,8 @@
   double Score(Index index, const Query& query);
   void Hold(Index index, const TaskSpec& spec, Time now);
   void Unhold(Index index, const TaskSpec& spec);
-  Error Explain(const Query& query) const;
-  Error ExplainGang(const std::vector<TaskSpec>& members, const Query& failed) const;
+  Error Explain(const Query& query, const Sample& sample) const;
+  Error ExplainGang(const std::vector<TaskSpec>& members, const Query& failed, const Sample& sample) const;
   std::optional<Error> Impossible(const Query& query) const;
   Time ExpectedEnd(const TaskSpec& spec, Time now) const;
 
