--- a/src/apps/jaymast_policy_bench.cc
+++ b/src/apps/jaymast_policy_bench.cc
@@ -18,8 +18,8 @@
 namespace jaymast {
 namespace {
 
-const ClusterSize kCurrentSize{"50 workers", 50, 3, 6, 0};
-const ClusterSize kTargetSize{"1,100 workers", 1'100, 6, 150, 1'700};
+const ClusterSize kCurrentSize{"current", "50 workers", 50, 3, 6, 0};
+const ClusterSize kTargetSize{"target", "1,100 workers", 1'100, 6, 150, 1'700};
 
 const std::vector<PolicySet> kPolicySets = {
     {"jaymast", "", QueueOrder::kFairShare},
@@ -32,6 +32,8 @@
   std::uint64_t seed = 1;
   int decisions = 200'000;
   std::string only;
+  std::string size;
+  std::string policy;
   std::string svg;
 };
 
@@ -39,6 +41,14 @@
   return options.only.empty() || options.only == table;
 }
 
+std::vector<PolicySet> SelectedPolicies(const Options& options) {
+  std::vector<PolicySet> selected;
+  for (const PolicySet& policies : kPolicySets) {
+    if (options.policy.empty() || options.policy == policies.name) selected.push_back(policies);
+  }
+  return selected;
+}
+
 /// Time of single decisions (choice and reservation) on a cluster that is kept at 90% of its processors.
 class DecisionTiming {
  public:
@@ -122,7 +132,7 @@
   report.Table("Decisions at 90% of the processors",
                {"a second, 50 workers", "a second, 1,100 workers", "99th percentile us, 50 workers",
                 "99th percentile us, 1,100 workers", "cost ratio"});
-  for (const PolicySet& policies : kPolicySets) {
+  for (const PolicySet& policies : SelectedPolicies(options)) {
     const auto small = DecisionTiming(kCurrentSize, policies, options.seed).Run(options.decisions);
     const auto large = DecisionTiming(kTargetSize, policies, options.seed).Run(options.decisions);
     report.Row(policies.name, {1e6 / Mean(small), 1e6 / Mean(large), Quantile(small, 0.99), Quantile(large, 0.99),
@@ -143,7 +153,7 @@
   constexpr double kLoad = 0.9;
   report.Table("Waiting at 90% load, " + size.name, {"preview p99 ms", "urgent p99.9 ms", "gang p99 s", "starts",
                                                      "round p99 us", "rounds' starts a second"});
-  for (const PolicySet& policies : kPolicySets) {
+  for (const PolicySet& policies : SelectedPolicies(options)) {
     const SimulationResult result = Simulate(size, policies, options, kLoad);
     const double busy_seconds = Mean(result.round_us) * static_cast<double>(result.round_us.size()) / 1e6;
     report.Row(policies.name, {Quantile(result.preview_wait_ms, 0.99), Quantile(result.urgent_wait_ms, 0.999),
@@ -155,7 +165,7 @@
 void ReportSaturation(const Options& options, PolicyReport& report, const ClusterSize& size) {
   report.Table("Saturation, " + size.name, {"packing", "fractional bound", "ratio", "largest deviation from share",
                                             "gang p99 s", "preview p99 ms", "waiting", "state MB"});
-  for (const PolicySet& policies : kPolicySets) {
+  for (const PolicySet& policies : SelectedPolicies(options)) {
     const SimulationResult result = Simulate(size, policies, options, 0);
     report.Row(policies.name,
                {result.packing, result.bound, result.packing / result.bound, result.largest_deviation,
@@ -167,7 +177,7 @@
 void ReportDomainOut(const Options& options, PolicyReport& report, const ClusterSize& size) {
   report.Table("A third of the failure domains out for 30 minutes, " + size.name,
                {"work done over bound", "repeated core seconds", "done core seconds"});
-  for (const PolicySet& policies : kPolicySets) {
+  for (const PolicySet& policies : SelectedPolicies(options)) {
     SimulationSettings settings;
     settings.size = size;
     settings.policies = policies;
@@ -184,6 +194,7 @@
   PolicyReport report;
   if (IsSelected(options, "decisions")) ReportDecisions(options, report);
   for (const ClusterSize& size : {kCurrentSize, kTargetSize}) {
+    if (!options.size.empty() && options.size != size.id) continue;
     if (IsSelected(options, "waiting")) ReportWaiting(options, report, size);
     if (IsSelected(options, "saturation")) ReportSaturation(options, report, size);
     if (IsSelected(options, "domain-out")) ReportDomainOut(options, report, size);
@@ -211,6 +222,9 @@
       ->check(CLI::Range(1'000, 100'000'000));
   app.add_option("--only", options.only, "Run one group of tables")
       ->check(CLI::IsMember({"decisions", "waiting", "saturation", "domain-out"}));
+  app.add_option("--size", options.size, "Simulate one size")->check(CLI::IsMember({"current", "target"}));
+  app.add_option("--policy", options.policy, "Run one set of policies")
+      ->check(CLI::IsMember({"jaymast", "first-fit", "random", "strict-priority"}));
   app.add_option("--svg", options.svg, "Write bar charts of all figures to this file");
   CLI11_PARSE(app, argc, argv);
   return jaymast::Main(options);
--- a/src/apps/policy_workload.h
+++ b/src/apps/policy_workload.h
@@ -16,7 +16,8 @@
 
 /// Size of a cluster for the policy benchmark.
 struct ClusterSize {
-  std::string name;
+  std::string id;    ///< value of the option --size
+  std::string name;  ///< title in tables
   int workers = 50;
   int domains = 3;
   int teams = 6;
--- a/src/placement/placement_benchmark.cc
+++ b/src/placement/placement_benchmark.cc
@@ -20,7 +20,7 @@
                                            WorkClass::kService};
 
 TaskSpec RandomTask(std::mt19937_64& random, std::uint64_t number) {
-  const auto cpu = static_cast<std::int64_t>(1'000U << (random() % 5));
+  const auto cpu = std::int64_t{1'000} << (random() % 5);
   TaskSpec spec = TestTask("t" + std::to_string(number), kMix[random() % kMix.size()], {cpu, cpu * 4, 0, 1});
   spec.team = TeamId("team" + std::to_string(random() % 150));
   spec.kind = "kind" + std::to_string(random() % 3);
@@ -35,7 +35,7 @@
 }
 
 /// One decision with its reservation, on a cluster kept as full as the policies allow.
-void BM_Decision(benchmark::State& state) {
+void Decision(benchmark::State& state) {
   std::mt19937_64 random(1);
   Placer placer(1);
   AddWorkers(placer, static_cast<int>(state.range(0)));
@@ -59,10 +59,10 @@
   }
   state.counters["refused"] = benchmark::Counter(static_cast<double>(refused), benchmark::Counter::kAvgIterations);
 }
-BENCHMARK(BM_Decision)->Arg(50)->Arg(1'100);
+BENCHMARK(Decision)->Arg(50)->Arg(1'100);
 
 /// One round of offers on a queue where nothing fits.
-void BM_BlockedRound(benchmark::State& state) {
+void BlockedRound(benchmark::State& state) {
   std::mt19937_64 random(2);
   FairShare shares;
   shares.SetCapacity({35'200'000, 144'000'000, 1'700, 8'800});
@@ -79,9 +79,9 @@
     benchmark::DoNotOptimize(queue.Offer(kStart, [](const WaitingTask&) { return OfferOutcome::kNoCapacity; }));
   }
 }
-BENCHMARK(BM_BlockedRound)->Arg(1'000)->Arg(20'000)->Arg(200'000);
+BENCHMARK(BlockedRound)->Arg(1'000)->Arg(20'000)->Arg(200'000);
 
-void BM_PushAndErase(benchmark::State& state) {
+void PushAndErase(benchmark::State& state) {
   std::mt19937_64 random(3);
   FairShare shares;
   AdmissionQueue queue(shares, 1'000'000);
@@ -97,9 +97,9 @@
     }
   }
 }
-BENCHMARK(BM_PushAndErase)->Arg(1'000)->Arg(20'000)->Arg(200'000);
+BENCHMARK(PushAndErase)->Arg(1'000)->Arg(20'000)->Arg(200'000);
 
-void BM_EntitledShares(benchmark::State& state) {
+void EntitledShares(benchmark::State& state) {
   FairShare shares;
   shares.SetCapacity({35'200'000, 144'000'000, 1'700, 8'800});
   std::map<TeamId, Resources> demand;
@@ -108,7 +108,7 @@
   }
   for (auto _ : state) benchmark::DoNotOptimize(shares.Entitled(demand));
 }
-BENCHMARK(BM_EntitledShares)->Arg(6)->Arg(150);
+BENCHMARK(EntitledShares)->Arg(6)->Arg(150);
 
 }  // namespace
 }  // namespace jaymast
