--- a/src/net/peer_codec.cc
+++ b/src/net/peer_codec.cc
@@ -55,7 +55,7 @@
   auto operator()(const Summary& m) const {
     const wire::Resources free = ToWire(m.free);
     const wire::Resources largest = ToWire(m.largest_free);
-    return wire::CreateSummary(b, Text(m.domain), m.serving, &free, &largest, m.config_version);
+    return wire::CreateSummary(b, Text(m.domain), m.serving, &free, &largest, m.config_version, m.handovers);
   }
   auto operator()(const RunRequest& m) const {
     return wire::CreateRunRequest(b, m.call, ToWire(b, m.spec), m.attempt, m.remaining_ms, m.config_version);
@@ -132,7 +132,7 @@
   PeerHello Read(const wire::Hello& m) { return {EntryId(m.from()->str()), EntryId(m.to()->str())}; }
   Summary Read(const wire::Summary& m) {
     return {DomainId(m.domain()->str()), m.serving(), FromWire(*m.free()), FromWire(*m.largest_free()),
-            m.config_version()};
+            m.config_version(), m.handovers()};
   }
   RunRequest Read(const wire::RunRequest& m) {
     return {m.call(), Spec(*m.spec()), m.attempt(), m.remaining_ms(), m.config_version()};
--- a/src/net/peer_test.cc
+++ b/src/net/peer_test.cc
@@ -57,7 +57,7 @@
   const auto call = static_cast<std::uint64_t>(Number());
   switch (kind) {
     case 0:
-      return Summary{DomainId(Text()), Flag(), Amounts(), Amounts(), Number()};
+      return Summary{DomainId(Text()), Flag(), Amounts(), Amounts(), Number(), Number()};
     case 1:
       return RunRequest{call, Spec(), Number(), Number(), Number()};
     case 2:
