Report the first blocked task of each rank and compute scores once a round

Cause: only the first blocked task of all got a reserved start, which was always a gang; scores were computed twice for each task that was passed over. Change: each rank reports its first blocked task; a score is computed again only after a task was taken; a search that gives up at the headroom resumes there the next time.

--- a/src/apps/policy_simulation.h
+++ b/src/apps/policy_simulation.h
@@ -346,7 +346,7 @@
   void EverySecond() {
     Schedule(m_now + std::chrono::seconds(1), EventKind::kSecond, 0);
     if (m_settings.load <= 0) Refill();
-    if (m_blocked && m_settings.policies.policy.empty()) ReserveBlocked();
+    for (const AttemptId& id : m_blocked) ReserveStart(id);
     if (IsMeasured()) Sample();
   }
 
@@ -359,14 +359,15 @@
     }
   }
 
-  void ReserveBlocked() {
-    const auto task = m_tasks.find(m_blocked->task);
+  void ReserveStart(const AttemptId& id) {
+    if (!m_settings.policies.policy.empty()) return;
+    const auto task = m_tasks.find(id.task);
     if (task == m_tasks.end() || task->second.spec.work_class == WorkClass::kPreview) return;
     bool reserved = true;
     for (const TaskSpec& member : Members(task->second.spec)) {
       reserved = m_placer.ReserveStart(member, m_now).has_value() && reserved;
     }
-    if (reserved) m_queue.Prefer(*m_blocked);
+    if (reserved) m_queue.Prefer(id);
   }
 
   void Sample() {
@@ -429,7 +430,7 @@
   Time m_measure_from;
   Time m_next_full_round;
   bool m_domain_is_out = false;
-  std::optional<AttemptId> m_blocked;
+  std::vector<AttemptId> m_blocked;
   std::uint64_t m_order = 0;
   std::uint64_t m_next_running = 0;
   int m_samples = 0;
--- a/src/placement/admission_queue.h
+++ b/src/placement/admission_queue.h
@@ -49,7 +49,7 @@
 /// Result of a round of offers.
 struct OfferReport {
   std::size_t taken = 0;
-  std::optional<AttemptId> blocked;  ///< first task in order that did not fit; a candidate for a reserved start
+  std::vector<AttemptId> blocked;  ///< first task of each rank that did not fit; candidates for a reserved start
 };
 
 /// Requests that wait for capacity at an owner, served by class of work and then by fair share.
@@ -129,6 +129,7 @@
     int rank = 0;
     std::size_t skipped = 0;
     double score = 0;
+    std::size_t taken = 0;  ///< tasks taken in the round when the score was computed
     Age age;
     const QueueKey* key = nullptr;
     SubQueue* queue = nullptr;
@@ -151,8 +152,8 @@
   void Shed(Time now);
   bool MeetsDeadline(const Entry& entry, std::size_t ahead, Time now) const;
   int RankOf(const SubQueue& queue, Time now) const;
-  std::optional<Cursor> MakeCursor(const QueueKey& key, SubQueue& queue, std::optional<Age> after, std::size_t skipped,
-                                   Time now) const;
+  std::optional<Cursor> MakeCursor(const QueueKey& key, SubQueue& queue, Time now) const;
+  std::optional<Cursor> Advance(Cursor cursor, std::size_t passed, Time now) const;
   double ScoreOf(const QueueKey& key, Time now) const;
   OfferReport Run(Round& round, bool interactive_only);
   void OfferPreferred(Round& round);
--- a/src/placement/admission_queue_offer.cc
+++ b/src/placement/admission_queue_offer.cc
@@ -22,6 +22,9 @@
 constexpr Duration kGangStarvation = std::chrono::minutes(2);
 constexpr Duration kStarvation = std::chrono::minutes(10);
 
+/// A task that would delay a reserved start makes only tasks of at most this part of its run time worth an offer.
+constexpr std::int64_t kShorter = 2;
+
 /// Demands remembered as not fitting in one round. Tasks are compared with each of them.
 constexpr std::size_t kMaxFailures = 32;
 
@@ -38,6 +41,7 @@
   std::priority_queue<Cursor, std::vector<Cursor>, Later> cursors;
   std::array<std::size_t, kRanks> skipped{};
   std::array<std::size_t, kRanks> failed_offers{};
+  std::array<bool, kRanks> is_blocked{};
   std::vector<Failure> failures;
   OfferReport report;
 };
@@ -47,12 +51,12 @@
 }
 
 OfferReport AdmissionQueue::Offer(Time now, const std::function<OfferOutcome(const WaitingTask&)>& place) {
-  Round round{now, place, {}, {}, {}, {}, {}};
+  Round round{now, place, {}, {}, {}, {}, {}, {}};
   return Run(round, false);
 }
 
 OfferReport AdmissionQueue::OfferInteractive(Time now, const std::function<OfferOutcome(const WaitingTask&)>& place) {
-  Round round{now, place, {}, {}, {}, {}, {}};
+  Round round{now, place, {}, {}, {}, {}, {}, {}};
   return Run(round, true);
 }
 
@@ -77,12 +81,18 @@
   return oldest + limit <= now ? kStarvedRank : rank;
 }
 
-std::optional<AdmissionQueue::Cursor> AdmissionQueue::MakeCursor(const QueueKey& key, SubQueue& queue,
-                                                                 std::optional<Age> after, std::size_t skipped,
-                                                                 Time now) const {
-  const auto next = after ? queue.entries.upper_bound(*after) : queue.entries.begin();
-  if (next == queue.entries.end()) return std::nullopt;
-  return Cursor{RankOf(queue, now), skipped, ScoreOf(key, now), next->first, &key, &queue};
+std::optional<AdmissionQueue::Cursor> AdmissionQueue::MakeCursor(const QueueKey& key, SubQueue& queue, Time now) const {
+  if (queue.entries.empty()) return std::nullopt;
+  return Cursor{RankOf(queue, now), 0, ScoreOf(key, now), 0, queue.entries.begin()->first, &key, &queue};
+}
+
+std::optional<AdmissionQueue::Cursor> AdmissionQueue::Advance(Cursor cursor, std::size_t passed, Time now) const {
+  const auto next = cursor.queue->entries.upper_bound(cursor.age);
+  if (next == cursor.queue->entries.end()) return std::nullopt;
+  cursor.age = next->first;
+  cursor.rank = RankOf(*cursor.queue, now);
+  cursor.skipped += passed;
+  return cursor;
 }
 
 double AdmissionQueue::ScoreOf(const QueueKey& key, Time now) const {
@@ -108,7 +118,7 @@
   for (auto& [key, queue] : m_queues) {
     // The keys are in order of class, and the interactive classes are the first two.
     if (interactive_only && queue.work_class > WorkClass::kUrgent) break;
-    const auto cursor = MakeCursor(key, queue, std::nullopt, 0, round.now);
+    const auto cursor = MakeCursor(key, queue, round.now);
     if (cursor) round.cursors.push(*cursor);
   }
 }
@@ -117,10 +127,10 @@
   while (!round.cursors.empty()) {
     Cursor cursor = round.cursors.top();
     round.cursors.pop();
-    const double score = ScoreOf(*cursor.key, round.now);
-    if (score > cursor.score) {
-      // The team got capacity through another of its sub-queues.
-      cursor.score = score;
+    if (cursor.taken != round.report.taken) {
+      // The team may have got capacity since, also through another of its sub-queues.
+      cursor.taken = round.report.taken;
+      cursor.score = ScoreOf(*cursor.key, round.now);
       round.cursors.push(cursor);
       continue;
     }
@@ -129,7 +139,7 @@
     if (cursor.skipped >= kMaxSkippedOfQueue) continue;
     const std::size_t passed = OfferAt(round, cursor) ? 0 : 1;
     round.skipped[rank] += passed;
-    const auto next = MakeCursor(*cursor.key, *cursor.queue, cursor.age, cursor.skipped + passed, round.now);
+    const auto next = Advance(cursor, passed, round.now);
     if (next) round.cursors.push(*next);
   }
 }
@@ -157,7 +167,8 @@
     return outcome;
   }
   const bool lacks_capacity = outcome == OfferOutcome::kNoCapacity || outcome == OfferOutcome::kReserved;
-  if (lacks_capacity && !round.report.blocked) round.report.blocked = id;
+  const auto rank = static_cast<std::size_t>(RankOf(queue, round.now));
+  if (lacks_capacity && !std::exchange(round.is_blocked[rank], true)) round.report.blocked.push_back(id);
   if (!is_same) return outcome;
   const Entry& entry = queue.entries.find(age)->second;
   Failure failure{entry.task.spec.demand, entry.task.spec.domain, 0, queue.work_class == WorkClass::kPreview, nullptr};
@@ -185,7 +196,7 @@
     // Previews may use capacity that is closed to other work.
     if (preview && !failure.preview) return false;
     if (!failure.domain.empty() && failure.domain != spec.domain) return false;
-    return entry.run_ms >= failure.run_ms && failure.demand.FitsIn(spec.demand);
+    return entry.run_ms >= failure.run_ms / kShorter && failure.demand.FitsIn(spec.demand);
   });
 }
 
--- a/src/placement/admission_queue_test.cc
+++ b/src/placement/admission_queue_test.cc
@@ -68,7 +68,7 @@
     ++offers;
     return OfferOutcome::kNoCapacity;
   });
-  EXPECT_TRUE(report.blocked);
+  EXPECT_FALSE(report.blocked.empty());
   EXPECT_LE(offers, AdmissionQueue::kMaxFailedOffers);
   EXPECT_EQ(queue.size(), 20'000U);
 }
@@ -91,8 +91,9 @@
     return OfferOutcome::kTaken;
   });
   EXPECT_EQ(taken, (std::vector<std::string>{"other", "small"}));
-  EXPECT_EQ(report.blocked->task, TaskId("large"));
-  queue.Prefer(*report.blocked);
+  ASSERT_EQ(report.blocked.size(), 1U);
+  EXPECT_EQ(report.blocked.front().task, TaskId("large"));
+  queue.Prefer(report.blocked.front());
   queue.Push(Waiting("late", WorkClass::kPreview, "a", kStart));
   EXPECT_EQ(OrderOfDispatch(queue, kStart).front(), "large");
 }
--- a/src/placement/fair_share.cc
+++ b/src/placement/fair_share.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// The score looks this far ahead. It weighs the present usage against the decayed usage of the past.
-constexpr Duration kHorizon = std::chrono::minutes(1);
+constexpr Duration kHorizon = std::chrono::seconds(60);
 
 /// A team with share 0 is served after all others.
 constexpr double kMinWeight = 1e-6;
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -199,14 +199,18 @@
   Index group = FirstGroup(query);
   for (Index visited = 0; visited < groups; ++visited) {
     if (GroupMayFit(m_table.groups()[group], query)) VisitGroup(group, query, limit, sample);
-    if (sample.taken >= limit || sample.excluded >= kMaxExcluded) return;
+    if (sample.taken >= limit) return;
     if (++group == groups) group = 0;
+    if (sample.excluded < kMaxExcluded) continue;
+    m_resume_group = group;
+    return;
   }
 }
 
 Placer::Index Placer::FirstGroup(const Query& query) {
   const auto groups = static_cast<Index>(m_table.groups().size());
-  if (groups < 2 || !StartsAtRandom(query.policy)) return 0;
+  if (groups < 2) return 0;
+  if (!StartsAtRandom(query.policy)) return m_resume_group % groups;
   return static_cast<Index>(m_random() % groups);
 }
 
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -142,6 +142,7 @@
   SpreadCounts m_spread;
   StartRamp m_ramp;
   const Estimator* m_estimator = nullptr;
+  Index m_resume_group = 0;  ///< where the next search starts, after one gave up at the headroom
   std::int64_t m_headroom_permille = kDefaultHeadroomPermille;
 };
 
