Move up only the tasks that have waited too long, not their whole sub-queue

Cause: one old task moved all tasks of its team ahead of other teams, whatever their shares. Change: the rank follows the age of each task; the check of the headroom needs no division where no room is spare.

--- a/src/placement/admission_queue.cc
+++ b/src/placement/admission_queue.cc
@@ -101,13 +101,13 @@
   std::array<std::size_t, EnumNames<WorkClass>::kNames.size() + 1> per_rank{};
   std::array<std::size_t, EnumNames<WorkClass>::kNames.size() + 1> queues_of_rank{};
   for (const auto& [key, queue] : m_queues) {
-    const auto rank = static_cast<std::size_t>(RankOf(queue, now));
+    const auto rank = static_cast<std::size_t>(RankOf(queue.work_class, now, now));
     per_rank.at(rank) += queue.entries.size();
     ++queues_of_rank.at(rank);
   }
   std::vector<Position> late;
   for (auto& [key, queue] : m_queues) {
-    const auto rank = static_cast<std::size_t>(RankOf(queue, now));
+    const auto rank = static_cast<std::size_t>(RankOf(queue.work_class, now, now));
     std::size_t ahead = 0;
     for (std::size_t higher = 0; higher < rank; ++higher) ahead += per_rank.at(higher);
     for (const auto& [age, entry] : queue.entries) {
--- a/src/placement/admission_queue.h
+++ b/src/placement/admission_queue.h
@@ -151,7 +151,7 @@
   Entry TakeOut(const Position& position);
   void Shed(Time now);
   bool MeetsDeadline(const Entry& entry, std::size_t ahead, Time now) const;
-  int RankOf(const SubQueue& queue, Time now) const;
+  int RankOf(WorkClass work_class, Time since, Time now) const;
   std::optional<Cursor> MakeCursor(const QueueKey& key, SubQueue& queue, Time now) const;
   std::optional<Cursor> Advance(Cursor cursor, std::size_t passed, Time now) const;
   double ScoreOf(const QueueKey& key, Time now) const;
--- a/src/placement/admission_queue_offer.cc
+++ b/src/placement/admission_queue_offer.cc
@@ -72,25 +72,25 @@
   return round.report;
 }
 
-int AdmissionQueue::RankOf(const SubQueue& queue, Time now) const {
+int AdmissionQueue::RankOf(WorkClass work_class, Time since, Time now) const {
   if (m_order == QueueOrder::kArrival) return 0;
-  const int rank = kClassRank.at(static_cast<std::size_t>(queue.work_class));
-  if (m_order == QueueOrder::kPriority || rank < kStarvedRank || queue.entries.empty()) return rank;
-  const Duration limit = queue.work_class == WorkClass::kGang ? kGangStarvation : kStarvation;
-  const Time oldest = queue.entries.begin()->first.first;
-  return oldest + limit <= now ? kStarvedRank : rank;
+  const int rank = kClassRank.at(static_cast<std::size_t>(work_class));
+  if (m_order == QueueOrder::kPriority || rank < kStarvedRank) return rank;
+  const Duration limit = work_class == WorkClass::kGang ? kGangStarvation : kStarvation;
+  return since + limit <= now ? kStarvedRank : rank;
 }
 
 std::optional<AdmissionQueue::Cursor> AdmissionQueue::MakeCursor(const QueueKey& key, SubQueue& queue, Time now) const {
   if (queue.entries.empty()) return std::nullopt;
-  return Cursor{RankOf(queue, now), 0, ScoreOf(key, now), 0, queue.entries.begin()->first, &key, &queue};
+  const Age oldest = queue.entries.begin()->first;
+  return Cursor{RankOf(queue.work_class, oldest.first, now), 0, ScoreOf(key, now), 0, oldest, &key, &queue};
 }
 
 std::optional<AdmissionQueue::Cursor> AdmissionQueue::Advance(Cursor cursor, std::size_t passed, Time now) const {
   const auto next = cursor.queue->entries.upper_bound(cursor.age);
   if (next == cursor.queue->entries.end()) return std::nullopt;
   cursor.age = next->first;
-  cursor.rank = RankOf(*cursor.queue, now);
+  cursor.rank = RankOf(cursor.queue->work_class, cursor.age.first, now);
   cursor.skipped += passed;
   return cursor;
 }
@@ -167,7 +167,7 @@
     return outcome;
   }
   const bool lacks_capacity = outcome == OfferOutcome::kNoCapacity || outcome == OfferOutcome::kReserved;
-  const auto rank = static_cast<std::size_t>(RankOf(queue, round.now));
+  const auto rank = static_cast<std::size_t>(RankOf(queue.work_class, age.first, round.now));
   if (lacks_capacity && !std::exchange(round.is_blocked[rank], true)) round.report.blocked.push_back(id);
   if (!is_same) return outcome;
   const Entry& entry = queue.entries.find(age)->second;
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -158,12 +158,13 @@
 
 Placer::Query Placer::MakeQuery(const TaskSpec& spec, Time now) const {
   const PlacementPolicy& policy = PolicyOf(spec);
-  Query query{spec, policy, PackedResources::OfDemand(spec.demand), {}, 0, now, {}, false};
+  Query query{spec, policy, PackedResources::OfDemand(spec.demand), {}, 0, now, {}, 0, false};
   if (!spec.domain.empty()) query.domain = m_table.FindDomain(spec.domain);
   if (!m_backfill.reservations().empty()) {
     query.task = StableHash(spec.id.value());
     query.expected_end = ExpectedEnd(spec, now);
   }
+  query.reserved_previews = ReservedPreviews();
   query.keeps_headroom = spec.work_class != WorkClass::kPreview && KeepsHeadroom(policy);
   return query;
 }
@@ -247,11 +248,12 @@
 }
 
 bool Placer::LeavesHeadroom(Index index, const Query& query) const {
-  const std::int64_t reserved = ReservedPreviews();
-  const std::int64_t units = m_table.row(index).units;
-  if (m_table.open_units() - units >= reserved) return true;
-  const std::int64_t left = m_table.UnitsIn(m_table.open(index) - query.spec.demand);
-  return m_table.open_units() - units + left >= reserved;
+  const std::int64_t units = m_table.units(index);
+  const std::int64_t spare = m_table.open_units() - query.reserved_previews;
+  if (units <= std::max<std::int64_t>(spare, 0)) return true;
+  // Almost every task takes room from at least one preview where there is room for previews.
+  if (spare <= 0) return false;
+  return units - m_table.UnitsIn(m_table.open(index) - query.spec.demand) <= spare;
 }
 
 double Placer::Score(Index index, const Query& query) {
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -105,6 +105,7 @@
     Backfill::TaskHash task = 0;
     Time now;
     Time expected_end;
+    std::int64_t reserved_previews = 0;
     bool keeps_headroom = false;
   };
 
--- a/src/placement/worker_table.cc
+++ b/src/placement/worker_table.cc
@@ -113,8 +113,8 @@
 std::size_t WorkerTable::MemoryBytes() const {
   constexpr std::size_t kHashNodeBytes = 64;  // a node with its key, an index and a bucket pointer
   const std::size_t names = m_index.size() + m_domains.size() + m_racks.size();
-  return m_open.capacity() * (sizeof(Resources) + sizeof(PackedResources)) + m_rows.capacity() * sizeof(Row) +
-         m_ids.capacity() * sizeof(UpstreamId) + m_groups.capacity() * sizeof(Group) +
+  return m_open.capacity() * (sizeof(Resources) + sizeof(PackedResources) + sizeof(std::int32_t)) +
+         m_rows.capacity() * sizeof(Row) + m_ids.capacity() * sizeof(UpstreamId) + m_groups.capacity() * sizeof(Group) +
          m_shapes.capacity() * sizeof(Shape) + names * kHashNodeBytes;
 }
 
@@ -132,6 +132,7 @@
   m_ids.resize(index + kGroupSize);
   m_open.resize(index + kGroupSize, kClosed);
   m_packed.resize(index + kGroupSize);
+  m_units.resize(index + kGroupSize);
   return index;
 }
 
@@ -155,11 +156,11 @@
   const bool is_open = IsOpen(row);
   m_open[index] = is_open ? row.capacity - row.used : kClosed;
   m_packed[index] = is_open ? PackedResources::OfFree(m_open[index]) : PackedResources();
-  m_open_units -= row.units;
+  m_open_units -= m_units[index];
   m_open_slots -= row.open_slots;
-  row.units = is_open ? UnitsIn(m_open[index]) : 0;
+  m_units[index] = is_open ? static_cast<std::int32_t>(UnitsIn(m_open[index])) : 0;
   row.open_slots = is_open ? row.capacity.slots : 0;
-  m_open_units += row.units;
+  m_open_units += m_units[index];
   m_open_slots += row.open_slots;
   RefreshGroup(index / kGroupSize);
 }
--- a/src/placement/worker_table.h
+++ b/src/placement/worker_table.h
@@ -30,7 +30,6 @@
     Resources capacity;
     Resources used;
     std::array<double, kResourceKinds> inverse{};  ///< 1 / capacity, 0 where there is no capacity
-    std::int64_t units = 0;                        ///< previews that would fit, 0 when closed
     std::int64_t open_slots = 0;                   ///< slots, free or used, 0 when closed
     std::int64_t tasks = 0;
     std::int64_t connections = 0;  ///< most tasks at once, 0 when unlimited
@@ -70,6 +69,9 @@
     return packed_demand.MayFitIn(m_packed[index]) && demand.FitsIn(m_open[index]);
   }
 
+  /// Previews that fit into a worker now, 0 when it may not get new tasks.
+  std::int64_t units(Index index) const { return m_units[index]; }
+
   const std::vector<Group>& groups() const { return m_groups; }
   std::size_t size() const { return m_index.size(); }
   std::size_t slots() const { return m_rows.size(); }
@@ -105,6 +107,7 @@
 
   std::vector<PackedResources> m_packed;
   std::vector<Resources> m_open;
+  std::vector<std::int32_t> m_units;
   std::vector<Row> m_rows;
   std::vector<UpstreamId> m_ids;
   std::vector<Group> m_groups;
