--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -158,12 +158,13 @@
 
 Placer::Query Placer::MakeQuery(const TaskSpec& spec, Time now) const {
   const PlacementPolicy& policy = PolicyOf(spec);
-  Query query{spec, policy, PackedResources::OfDemand(spec.demand), {}, 0, now, {}, false};
+  Query query{spec, policy, PackedResources::OfDemand(spec.demand), {}, 0, now, {}, 0, false};
   if (!spec.domain.empty()) query.domain = m_table.FindDomain(spec.domain);
   if (!m_backfill.reservations().empty()) {
     query.task = StableHash(spec.id.value());
     query.expected_end = ExpectedEnd(spec, now);
   }
+  query.reserved_previews = ReservedPreviews();
   query.keeps_headroom = spec.work_class != WorkClass::kPreview && KeepsHeadroom(policy);
   return query;
 }
@@ -199,14 +200,18 @@
   Index group = FirstGroup(query);
   for (Index visited = 0; visited < groups; ++visited) {
     if (GroupMayFit(m_table.groups()[group], query)) VisitGroup(group, query, limit, sample);
-    if (sample.taken >= limit || sample.excluded >= kMaxExcluded) return;
+    if (sample.taken >= limit) return;
     if (++group == groups) group = 0;
+    if (sample.excluded < kMaxExcluded) continue;
+    m_resume_group = group;
+    return;
   }
 }
 
 Placer::Index Placer::FirstGroup(const Query& query) {
   const auto groups = static_cast<Index>(m_table.groups().size());
-  if (groups < 2 || !StartsAtRandom(query.policy)) return 0;
+  if (groups < 2) return 0;
+  if (!StartsAtRandom(query.policy)) return m_resume_group % groups;
   return static_cast<Index>(m_random() % groups);
 }
 
@@ -243,11 +248,12 @@
 }
 
 bool Placer::LeavesHeadroom(Index index, const Query& query) const {
-  const std::int64_t reserved = ReservedPreviews();
-  const std::int64_t units = m_table.row(index).units;
-  if (m_table.open_units() - units >= reserved) return true;
-  const std::int64_t left = m_table.UnitsIn(m_table.open(index) - query.spec.demand);
-  return m_table.open_units() - units + left >= reserved;
+  const std::int64_t units = m_table.units(index);
+  const std::int64_t spare = m_table.open_units() - query.reserved_previews;
+  if (units <= std::max<std::int64_t>(spare, 0)) return true;
+  // Almost every task takes room from at least one preview where there is room for previews.
+  if (spare <= 0) return false;
+  return units - m_table.UnitsIn(m_table.open(index) - query.spec.demand) <= spare;
 }
 
 double Placer::Score(Index index, const Query& query) {
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -105,6 +105,7 @@
     Backfill::TaskHash task = 0;
     Time now;
     Time expected_end;
+    std::int64_t reserved_previews = 0;
     bool keeps_headroom = false;
   };
 
@@ -142,6 +143,7 @@
   SpreadCounts m_spread;
   StartRamp m_ramp;
   const Estimator* m_estimator = nullptr;
+  Index m_resume_group = 0;  ///< where the next search starts, after one gave up at the headroom
   std::int64_t m_headroom_permille = kDefaultHeadroomPermille;
 };
 
