Do not checkpoint and restart at-most-once members of a gang

When the start of one member of a gang was refused, the home entry checkpointed the started members and placed the whole gang again.

--- a/src/tasks/task_dispatch.cc
+++ b/src/tasks/task_dispatch.cc
@@ -32,6 +32,12 @@
 constexpr std::array<WorkClass, 5> kServiceOrder = {WorkClass::kPreview, WorkClass::kUrgent, WorkClass::kService,
                                                     WorkClass::kGang, WorkClass::kBatch};
 
+/// Whether the other members of a gang need not wait for this one: it has ended, or it runs and is never started again.
+bool IsPlacedForGood(const HomeTask& task) {
+  if (task.phase == TaskPhase::kEnded) return true;
+  return task.phase == TaskPhase::kStarted && task.spec.semantics == Semantics::kAtMostOnce;
+}
+
 }  // namespace
 
 void TaskManager::Enqueue(HomeTask& task) {
@@ -157,7 +163,7 @@
   const std::vector<HomeTask*> members = GangMembers(first.spec.gang);
   const bool is_complete = static_cast<std::int64_t>(members.size()) == first.spec.gang_size;
   const bool is_ready = is_complete && std::all_of(members.begin(), members.end(), [](const HomeTask* task) {
-                          return task->phase == TaskPhase::kQueued || task->phase == TaskPhase::kEnded;
+                          return task->phase == TaskPhase::kQueued || IsPlacedForGood(*task);
                         });
   // The member that is queued last finds the gang ready.
   if (!is_ready) return;
@@ -174,7 +180,7 @@
 void TaskManager::CheckGang(const GangId& gang) {
   const std::vector<HomeTask*> members = GangMembers(gang);
   const bool is_held = std::all_of(members.begin(), members.end(), [](const HomeTask* task) {
-    return task->phase == TaskPhase::kHeld || task->phase == TaskPhase::kEnded;
+    return task->phase == TaskPhase::kHeld || IsPlacedForGood(*task);
   });
   if (!is_held) return;
   for (HomeTask* task : members) {
@@ -196,6 +202,8 @@
 void TaskManager::StopGang(const HomeTask& lost) {
   for (const HomeTask* task : GangMembers(lost.spec.gang)) {
     if (task->phase != TaskPhase::kStarted || task->spec.id == lost.spec.id) continue;
+    // At-most-once members may not be started again, so they run on while the others are placed anew.
+    if (task->spec.semantics == Semantics::kAtMostOnce) continue;
     m_hooks.send(task->owner, StopOrder{AttemptId{task->spec.id, task->attempt}, StopMode::kCheckpoint});
   }
 }
