Let answers under a platform fault name it during a planned stop

The exemption needs a fault in the log and covers only the errors store.unavailable and outcome.unknown; a refusal as not serving still counts.

--- a/src/testing/invariants_test.cc
+++ b/src/testing/invariants_test.cc
@@ -284,6 +284,12 @@
   EXPECT_EQ(Check({Received(1, 1), draining, stopped}), Ids{"G10"});
   EXPECT_EQ(Check({Received(1, 1), draining, Replied(5, 1, "not_run", "503"), stopped}), Ids{"G10"});
   EXPECT_EQ(Check({draining, Received(3, 1), Replied(5, 1, "not_run", "503"), stopped}), Ids{}) << "sent later";
+  const Event unknown = Replied(5, 1, "may_have_run", "503 0 jaymast.outcome.unknown");
+  const Event not_serving = Replied(5, 1, "not_run", "503 0 jaymast.entry.not-serving");
+  const Event store_slow = EventAt(0, "session", EventKind::kFault);
+  EXPECT_EQ(Check({Received(1, 1), draining, unknown, stopped}), Ids{"G10"});
+  EXPECT_EQ(Check({store_slow, Received(1, 1), draining, not_serving, stopped}), Ids{"G10"});
+  EXPECT_EQ(Check({store_slow, Received(1, 1), draining, unknown, stopped}), Ids{}) << "the store is slow";
   const Event owned = EventAt(0, "e1", EventKind::kOwnerFenced).At("u1");
   Event lapsed = Ended(6, "a", "u1");
   lapsed.detail = "lapsed";
