--- a/src/cli/command_line_test.cc
+++ b/src/cli/command_line_test.cc
@@ -79,6 +79,8 @@
   EXPECT_EQ(Run({"config", "check", file}), ExitCode::kSuccess);
   EXPECT_EQ(m_out.str(), file + ": valid (intents)\n");
   EXPECT_EQ(Run({"config", "check", "--kind", "tasks", file}), ExitCode::kInput);
+  const std::string entry = WriteFile("entry.toml", "name = \"e1\"\ndomain = \"d1\"\n[platform]\ntabel = \"x\"\n");
+  EXPECT_EQ(Run({"config", "check", entry}), ExitCode::kInput);
 }
 
 TEST_F(CommandLineTest, PreviewWritesTheOutputUnchanged) {
--- a/src/cli/config_check.h
+++ b/src/cli/config_check.h
@@ -7,7 +7,7 @@
 
 namespace jaymast {
 
-/// Values of `--kind`: auto, intents, tasks, client.
+/// Values of `--kind`: auto, intents, tasks, client, entry.
 std::vector<std::string> ConfigCheckKinds();
 
 /// `config check FILE`: reports the first error of a file with file, line and key.
--- a/src/cli/domain_commands.cc
+++ b/src/cli/domain_commands.cc
@@ -67,8 +67,9 @@
 
 std::string ProgressText(const std::string& name, const DrainProgress& progress) {
   std::string text = fmt::format("{}: {} tasks running", name, progress.running);
-  if (progress.unreported > 0)
+  if (progress.unreported > 0) {
     text += fmt::format(", {} upstreams without a report of their owner", progress.unreported);
+  }
   return text + "\n";
 }
 
