--- a/src/net/peer_codec.cc
+++ b/src/net/peer_codec.cc
@@ -131,8 +131,8 @@
 
   PeerHello Read(const wire::Hello& m) { return {EntryId(m.from()->str()), EntryId(m.to()->str())}; }
   Summary Read(const wire::Summary& m) {
-    return {DomainId(m.domain()->str()), m.serving(), FromWire(*m.free()), FromWire(*m.largest_free()),
-            m.config_version(), m.handovers()};
+    return {DomainId(m.domain()->str()), m.serving(),        FromWire(*m.free()),
+            FromWire(*m.largest_free()), m.config_version(), m.handovers()};
   }
   RunRequest Read(const wire::RunRequest& m) {
     return {m.call(), Spec(*m.spec()), m.attempt(), m.remaining_ms(), m.config_version()};
