--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -33,12 +33,17 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::Send(const std::string& address, HttpRequest request, Deadline deadline, Callback done) {
+  const auto shared_request = std::make_shared<HttpRequest>(std::move(request));
+  Send(
+      address, [shared_request] { return std::move(*shared_request); }, deadline, std::move(done));
+}
+
+void HttpClient::Send(const std::string& address, std::function<HttpRequest()> make_request, Deadline deadline,
+                      Callback done) {
   std::shared_ptr<HttpClientHost> host = m_shared->Host(address);
   boost::asio::io_context& context = host->context();
-  boost::asio::post(context,
-                    [host = std::move(host), request = std::move(request), deadline, done = std::move(done)]() mutable {
-                      host->Send(std::move(request), deadline, std::move(done));
-                    });
+  boost::asio::post(context, [host = std::move(host), make_request = std::move(make_request), deadline,
+                              done = std::move(done)] { host->Send(make_request(), deadline, done); });
 }
 
 }  // namespace jaymast
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -62,6 +62,9 @@
   /// @param done called once, on a traffic thread
   void Send(const std::string& address, HttpRequest request, Deadline deadline, Callback done);
 
+  /// Sends the request that a function makes on a traffic thread, so that the calling thread need not encode it.
+  void Send(const std::string& address, std::function<HttpRequest()> make_request, Deadline deadline, Callback done);
+
  private:
   struct Shared;
   std::shared_ptr<Shared> m_shared;
--- a/src/net/peer_codec.cc
+++ b/src/net/peer_codec.cc
@@ -1,11 +1,11 @@
 #include "net/peer_codec.h"
 
+#include <peer_generated.h>
+
 #include <cstdint>
 #include <optional>
 #include <utility>
 
-#include "net/generated/peer_generated.h"
-
 namespace jaymast {
 namespace {
 
--- a/src/runtime/event_log.cc
+++ b/src/runtime/event_log.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "runtime/event_codec.h"
+
 namespace jaymast {
 
 EventLog::EventLog(const EventSettings& settings)
@@ -21,33 +23,34 @@
   if (m_thread.joinable()) m_thread.join();
 }
 
-void EventLog::Append(std::string line) {
+void EventLog::Append(Event event) {
   const std::lock_guard lock(m_mutex);
   ++m_next;
-  if (m_sink && m_queued_lines >= m_max_queue) {
-    if (m_dropped++ == 0) LOG(WARNING) << "jaymast.events.dropped: the event output is too slow, lines are dropped";
+  if (m_sink && m_queue.size() >= m_max_queue) {
+    if (m_dropped++ == 0) LOG(WARNING) << "jaymast.events.dropped: the event output is too slow, events are dropped";
   } else if (m_sink) {
-    m_queue += line;
-    m_queue += '\n';
-    if (m_queued_lines++ == 0) m_wake.notify_one();
+    m_queue.push_back(event);
+    if (m_queue.size() == 1) m_wake.notify_one();
   }
-  m_ring.push_back(std::move(line));
+  m_ring.push_back(std::move(event));
   if (m_ring.size() > m_max_ring) m_ring.pop_front();
 }
 
-EventLog::Page EventLog::Since(std::uint64_t since) const {
+EventLog::Page EventLog::Read(std::optional<std::uint64_t> since) const {
   const std::lock_guard lock(m_mutex);
   const std::uint64_t first = m_next - m_ring.size();
-  const std::uint64_t begin = std::clamp(since, first, m_next) - first;
+  const std::uint64_t last_page = m_next - std::min(m_ring.size(), kMaxPage);
+  const std::uint64_t begin = std::clamp(since.value_or(last_page), first, m_next);
+  const std::uint64_t end = std::min<std::uint64_t>(begin + kMaxPage, m_next);
   Page page;
-  page.next = m_next;
-  for (std::size_t i = begin; i < m_ring.size(); ++i) page.lines += m_ring[i] + '\n';
+  page.next = end;
+  for (std::uint64_t number = begin; number < end; ++number) page.lines += EncodeEvent(m_ring[number - first]) + '\n';
   return page;
 }
 
 std::size_t EventLog::queued() const {
   const std::lock_guard lock(m_mutex);
-  return m_queued_lines;
+  return m_queue.size();
 }
 
 void EventLog::Run() {
@@ -55,15 +58,19 @@
   while (true) {
     m_wake.wait(lock, [this] { return m_is_stopping || !m_queue.empty(); });
     if (m_queue.empty()) return;
-    const std::string lines = std::exchange(m_queue, {});
-    const std::size_t count = std::exchange(m_queued_lines, 0);
+    const std::vector<Event> events = std::exchange(m_queue, {});
     lock.unlock();
-    if (!m_sink->Write(lines)) {
-      LOG_EVERY_N(WARNING, 100) << "jaymast.events.output: cannot write to the event output";
-      m_dropped += count;
-    }
+    Write(events);
     lock.lock();
   }
 }
 
+void EventLog::Write(const std::vector<Event>& events) {
+  std::string lines;
+  for (const Event& event : events) lines += EncodeEvent(event) + '\n';
+  if (m_sink->Write(lines)) return;
+  LOG_EVERY_N(WARNING, 100) << "jaymast.events.output: cannot write to the event output";
+  m_dropped += events.size();
+}
+
 }  // namespace jaymast
--- a/src/runtime/process_effects.cc
+++ b/src/runtime/process_effects.cc
@@ -7,7 +7,6 @@
 #include "net/http_client.h"
 #include "net/peer_links.h"
 #include "runtime/control_loop.h"
-#include "runtime/event_codec.h"
 #include "runtime/event_log.h"
 #include "runtime/http_runner.h"
 #include "runtime/metrics.h"
@@ -61,13 +60,13 @@
 void ProcessEffects::CallUpstream(const UpstreamId&, const std::string& address, const UpstreamRequest& request,
                                   Time deadline, UpstreamCallback done) {
   const auto begin = std::chrono::steady_clock::now();
-  m_parts.upstream_client.Send(address, RunnerHttpRequest(request), m_parts.clock.ToSteady(deadline),
-                               [this, begin, done = std::move(done)](const HttpResult& result) {
-                                 const auto time = std::chrono::steady_clock::now() - begin;
-                                 m_parts.metrics.Observe(Timing::kUpstreamCall,
-                                                         std::chrono::duration_cast<std::chrono::microseconds>(time));
-                                 m_parts.control.Post([done, reply = UpstreamReplyOf(result)] { done(reply); });
-                               });
+  m_parts.upstream_client.Send(
+      address, [request] { return RunnerHttpRequest(request); }, m_parts.clock.ToSteady(deadline),
+      [this, begin, done = std::move(done)](const HttpResult& result) {
+        const auto time = std::chrono::steady_clock::now() - begin;
+        m_parts.metrics.Observe(Timing::kUpstreamCall, std::chrono::duration_cast<std::chrono::microseconds>(time));
+        m_parts.control.Post([done, reply = UpstreamReplyOf(result)] { done(reply); });
+      });
 }
 
 void ProcessEffects::Reply(RequestId request, const Response& response) { m_reply(request, response); }
@@ -76,7 +75,7 @@
   Event complete = event;
   if (complete.time == Time()) complete.time = Now();
   if (complete.process.empty()) complete.process = m_process;
-  m_parts.events.Append(EncodeEvent(complete));
+  m_parts.events.Append(std::move(complete));
 }
 
 }  // namespace jaymast
--- a/src/runtime/request_gate.cc
+++ b/src/runtime/request_gate.cc
@@ -40,21 +40,23 @@
 }
 
 void RequestGate::HandleEvents(const HttpRequest& http, const HttpResponder& responder) {
-  const Result<std::int64_t> since = QueryInt(http.target, "since", 0, INT64_MAX);
-  if (!since) {
-    return responder.Respond(ProblemResponse(HttpStatusOf(since.error()), since.error(), Verdict::kNotRun));
+  constexpr std::int64_t kAbsent = -1;
+  const Result<std::int64_t> number = QueryInt(http.target, "since", kAbsent, INT64_MAX);
+  if (!number) {
+    return responder.Respond(ProblemResponse(HttpStatusOf(number.error()), number.error(), Verdict::kNotRun));
   }
+  std::optional<std::uint64_t> since;
+  if (*number != kAbsent) since = static_cast<std::uint64_t>(*number);
   // Only the core knows the keys, so it answers a status request first. Its refusal is the refusal of this request.
-  Submit(ViewRequest{BearerSecret(http), View::kStatus, TaskId()}, responder,
-         [this, since = *since](Response response) {
-           if (response.status != kStatusOk) return ResponseToHttp(std::move(response));
-           EventLog::Page page = m_events.Since(static_cast<std::uint64_t>(since));
-           HttpResponse events;
-           events.headers.emplace_back("Content-Type", "application/x-ndjson");
-           events.headers.emplace_back("Jaymast-Next-Event", std::to_string(page.next));
-           events.body = std::move(page.lines);
-           return events;
-         });
+  Submit(ViewRequest{BearerSecret(http), View::kStatus, TaskId()}, responder, [this, since](Response response) {
+    if (response.status != kStatusOk) return ResponseToHttp(std::move(response));
+    EventLog::Page page = m_events.Read(since);
+    HttpResponse events;
+    events.headers.emplace_back("Content-Type", "application/x-ndjson");
+    events.headers.emplace_back("Jaymast-Next-Event", std::to_string(page.next));
+    events.body = std::move(page.lines);
+    return events;
+  });
 }
 
 void RequestGate::Submit(Request request, const HttpResponder& responder, Convert convert) {
