--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -119,7 +119,8 @@
   }
 
   void FailConnect(ErrorCode ec) {
-    if (const auto host = m_host.lock()) host->OnConnectFailed("cannot connect to " + m_address + ": " + ec.message());
+    const std::string reason = "cannot connect to " + m_address + ": " + ec.message();
+    if (const auto host = m_host.lock()) host->OnConnectFailed(reason);
     Close();
   }
 
@@ -147,8 +148,8 @@
 
   void Fail(PendingRequest& pending, ErrorCode ec, bool nothing_sent) {
     const SendStatus status = nothing_sent ? SendStatus::kNotSent : SendStatus::kUnknown;
-    if (const auto host = m_host.lock())
-      host->Complete(pending, HttpResult{status, {}, m_address + ": " + ec.message()});
+    HttpResult result{status, {}, m_address + ": " + ec.message()};
+    if (const auto host = m_host.lock()) host->Complete(pending, std::move(result));
     Close();
   }
 
--- a/src/net/outgoing_link.cc
+++ b/src/net/outgoing_link.cc
@@ -41,11 +41,14 @@
   Write();
 }
 
-void OutgoingLink::Send(std::string frame) {
-  const bool is_too_large = frame.size() > m_state->options.max_frame_bytes + kFrameLengthBytes;
-  if (is_too_large)
-    LOG(WARNING) << "jaymast.peer.too-large peer=" << m_peer << ": " << frame.size() << " bytes dropped";
-  if (is_too_large || m_queue.size() + frame.size() > m_state->options.max_queued_bytes) {
+void OutgoingLink::Send(const std::string& frame) {
+  const std::size_t size = frame.size();
+  if (size > m_state->options.max_frame_bytes + kFrameLengthBytes) {
+    LOG(WARNING) << "jaymast.peer.too-large peer=" << m_peer << ": frame of " << size << " bytes dropped";
+    ++m_state->dropped;
+    return;
+  }
+  if (m_queue.size() + size > m_state->options.max_queued_bytes) {
     ++m_state->dropped;
     return;
   }
--- a/src/net/outgoing_link.h
+++ b/src/net/outgoing_link.h
@@ -20,7 +20,7 @@
   const std::string& address() const { return m_address; }
 
   void Connect();
-  void Send(std::string frame);
+  void Send(const std::string& frame);
   void Close();
 
  private:
--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -62,13 +62,13 @@
   m_outgoing.erase(link);
 }
 
-void PeerLinksState::Send(const EntryId& peer, std::string frame) {
+void PeerLinksState::Send(const EntryId& peer, const std::string& frame) {
   const auto link = m_outgoing.find(peer);
   if (link == m_outgoing.end()) {
     ++dropped;
     return;
   }
-  link->second->Send(std::move(frame));
+  link->second->Send(frame);
 }
 
 void PeerLinksState::Stop() {
@@ -129,9 +129,8 @@
 }
 
 void PeerLinks::Send(const EntryId& peer, const PeerMessage& message) {
-  boost::asio::post(m_state->context, [state = m_state, peer, frame = EncodeFrame(message)]() mutable {
-    state->Send(peer, std::move(frame));
-  });
+  boost::asio::post(m_state->context,
+                    [state = m_state, peer, frame = EncodeFrame(message)] { state->Send(peer, frame); });
 }
 
 PeerLinks::Counters PeerLinks::counters() const {
--- a/src/net/peer_links_state.h
+++ b/src/net/peer_links_state.h
@@ -25,7 +25,7 @@
   void SetLocalId(EntryId local);
   void Connect(const EntryId& peer, const std::string& address);
   void Disconnect(const EntryId& peer);
-  void Send(const EntryId& peer, std::string frame);
+  void Send(const EntryId& peer, const std::string& frame);
   void Stop();
   void Remove(const std::shared_ptr<IncomingLink>& link);
 
--- a/src/runtime/entry_process.cc
+++ b/src/runtime/entry_process.cc
@@ -86,7 +86,7 @@
   ControlLoop::Hooks hooks{[this] { m_parts->core->OnTick(); }, [this] { return UpdateState(); }};
   m_parts = std::make_unique<Parts>(settings, std::move(hooks));
   Parts& parts = *m_parts;
-  if (const auto error = LoadTls(settings)) return error;
+  if (auto error = LoadTls(settings)) return error;
 
   auto links = PeerLinks::Listen(
       parts.pool, settings.peer, EntryId(kNoEntryId), [&parts](const EntryId& from, PeerMessage message) {
@@ -128,9 +128,9 @@
     target = *context;
     return std::nullopt;
   };
-  if (const auto error = load(settings.http_tls, m_parts->http_tls)) return error;
-  if (const auto error = load(settings.peer_tls, m_parts->peer_server_tls)) return error;
-  if (const auto error = load(settings.peer_tls, m_parts->peer_client_tls)) return error;
+  if (auto error = load(settings.http_tls, m_parts->http_tls)) return error;
+  if (auto error = load(settings.peer_tls, m_parts->peer_server_tls)) return error;
+  if (auto error = load(settings.peer_tls, m_parts->peer_client_tls)) return error;
   settings.http.tls = m_parts->http_tls;
   settings.peer.server_tls = m_parts->peer_server_tls;
   settings.peer.client_tls = m_parts->peer_client_tls;
--- a/src/runtime/http_routes.cc
+++ b/src/runtime/http_routes.cc
@@ -191,8 +191,8 @@
   if (method == "POST" && is_collection && name == "previews") return ReadPreview(call);
   if (method == "POST" && is_collection && name == "tasks") return ReadSubmit(call);
   if (method == "POST" && is_collection && name == "plans") return ReadPlan(call);
-  if (method == "POST" && path.size() == 4 && name == "plans" && path[3] == "confirm")
-    return ReadConfirm(call, path[2]);
+  const bool is_confirm = path.size() == 4 && name == "plans" && path[3] == "confirm";
+  if (method == "POST" && is_confirm) return ReadConfirm(call, path[2]);
   if (method == "DELETE" && path.size() == 3 && name == "tasks") {
     return Request(CancelRequest{call.secret, TaskId(path[2])});
   }
