Use learned estimates, backfill, failure attribution and return ramps at owners

Cause: the owner role placed tasks first-fit behind a queue that dropped the reason of a refusal, judged workers by consecutive failures only, and read results once a second, so that short tasks held their slots for up to a second. Change: offers with reasons and a reserved start for the first blocked task, attribution of failures to workers or jobs, a start limit while a failure domain comes back, overrun actions for kinds with learned run times, and reports read when a task is expected to have ended. A conflict answer carries the new plan.

--- a/src/placement/admission_queue.cc
+++ b/src/placement/admission_queue.cc
@@ -48,6 +48,12 @@
   DropEmptyQueues();
 }
 
+const WaitingTask* AdmissionQueue::Find(const AttemptId& id) const {
+  const auto known = m_positions.find(id);
+  if (known == m_positions.end()) return nullptr;
+  return &known->second.queue->entries.at(known->second.age).task;
+}
+
 void AdmissionQueue::Prefer(const AttemptId& id) {
   if (std::find(m_preferred.begin(), m_preferred.end(), id) == m_preferred.end()) m_preferred.push_back(id);
 }
--- a/src/placement/admission_queue.h
+++ b/src/placement/admission_queue.h
@@ -83,6 +83,9 @@
 
   std::size_t size() const { return m_positions.size(); }
 
+  /// The waiting task, or nullptr.
+  const WaitingTask* Find(const AttemptId& id) const;
+
   /// Offers waiting tasks in policy order to `place`, which returns whether it took the task. Taken tasks leave the
   /// queue. `place` may push and erase tasks.
   void Dispatch(Time now, const std::function<bool(const WaitingTask&)>& place);
--- a/src/runtime/http_routes.cc
+++ b/src/runtime/http_routes.cc
@@ -246,7 +246,9 @@
 }
 
 HttpResponse ResponseToHttp(Response response) {
-  if (response.error) return ProblemResponse(response.status, *response.error, response.verdict);
+  // A conflict brings the new plan in its body.
+  const bool has_body = !response.body.empty() && !response.raw;
+  if (response.error && !has_body) return ProblemResponse(response.status, *response.error, response.verdict);
   HttpResponse http;
   http.status = response.status;
   http.headers.emplace_back("Content-Type", response.raw ? "application/octet-stream" : "application/json");
--- a/src/upstream/executor.cc
+++ b/src/upstream/executor.cc
@@ -16,6 +16,9 @@
 /// How long a hold request waits for capacity before the home entry may ask another owner.
 constexpr Duration kHoldWait = std::chrono::milliseconds(1000);
 
+/// Starts a second for each upstream while a failure domain comes back.
+constexpr std::int64_t kReturnStartsPerUpstream = 4;
+
 constexpr Duration kSweepInterval = std::chrono::milliseconds(50);
 
 /// Summary of the answer to a start request, as a verdict.
@@ -42,10 +45,14 @@
       m_allotments(allotments),
       m_hooks(std::move(hooks)),
       m_placer(context.effects.Random()),
-      m_queue(m_fair_share, kMaxWaiting) {}
+      m_queue(m_fair_share, kMaxWaiting) {
+  m_placer.SetEstimator(&m_estimator);
+  m_queue.SetEstimator(&m_estimator);
+}
 
 void Executor::Start() {
-  RenewAll();
+  RenewDue();
+  CheckOverruns();
   ExpireWaiting();
 }
 
@@ -56,7 +63,8 @@
 
 bool Executor::IsEligible(const OwnedUpstream& upstream) const {
   return upstream.is_reachable && !IsOut(upstream.info) &&
-         upstream.health.MayPlace(static_cast<std::int64_t>(upstream.tasks.size()));
+         upstream.health.MayPlace(static_cast<std::int64_t>(upstream.tasks.size())) &&
+         m_attribution.MayStart(upstream.info.id, m_context.Now());
 }
 
 void Executor::UpdateEligibility(const UpstreamId& id) {
@@ -73,11 +81,22 @@
   const ClusterConfig& config = m_config.config();
   for (const auto& [id, team] : config.teams) m_fair_share.SetShare(id, team.share);
   m_placer.SetPolicies(config.policies);
+  LimitReturningDomain();
   UpdateEligibility();
   EvacuateOut();
   Dispatch();
 }
 
+void Executor::LimitReturningDomain() {
+  const DomainId& domain = m_context.settings.domain;
+  const bool is_out = m_config.config().domains_out.contains(domain);
+  const bool is_back = std::exchange(m_was_out, is_out) && !is_out;
+  if (!is_back) return;
+  const Time now = m_context.Now();
+  const auto upstreams = static_cast<std::int64_t>(m_upstreams.size());
+  m_placer.LimitStarts(domain, now + m_context.settings.domain_return_ramp, upstreams * kReturnStartsPerUpstream, now);
+}
+
 void Executor::OnInstances(const InstanceList& list) {
   for (const UpstreamInfo& info : list.upstreams) {
     const auto upstream = m_upstreams.find(info.id);
@@ -96,7 +115,7 @@
   m_waiting_runs.insert_or_assign(id, WaitingRun{request, from, now + remaining, std::move(done)});
   // Half of the time is left for a try at another owner.
   const WaitingTask waiting{id, request.spec, from, now, now + remaining / 2};
-  if (m_queue.size() == 0 && Place(waiting)) return;
+  if (m_queue.size() == 0 && Place(waiting) == OfferOutcome::kTaken) return;
   const bool may_wait = m_membership.MayStart() && HasUsableUpstream();
   if (!may_wait || !m_queue.Push(waiting)) return RefuseWaiting(waiting);
   Dispatch();
@@ -107,7 +126,7 @@
   const AttemptId id{request.spec.id, request.attempt};
   if (m_tasks.contains(id)) return;
   const WaitingTask waiting{id, request.spec, from, now, now + kHoldWait};
-  if (m_queue.size() == 0 && Place(waiting)) return;
+  if (m_queue.size() == 0 && Place(waiting) == OfferOutcome::kTaken) return;
   if (!m_queue.Push(waiting)) return RefuseWaiting(waiting);
   Dispatch();
 }
@@ -122,15 +141,31 @@
 void Executor::Dispatch() {
   if (m_dispatching || m_queue.size() == 0) return;
   m_dispatching = true;
-  m_queue.Dispatch(m_context.Now(), [this](const WaitingTask& waiting) { return Place(waiting); });
+  ReserveBlocked(m_queue.Offer(m_context.Now(), [this](const WaitingTask& waiting) { return Place(waiting); }));
   m_dispatching = false;
 }
 
-bool Executor::Place(const WaitingTask& waiting) {
-  if (!m_membership.MayStart()) return false;
+void Executor::ReserveBlocked(const OfferReport& report) {
+  std::optional<AttemptId> first;
+  if (!report.blocked.empty()) first = report.blocked.front();
+  if (m_reserved == first) return;
+  if (m_reserved) m_placer.CancelStart(m_reserved_spec);
+  m_reserved = std::nullopt;
+  const WaitingTask* blocked = first ? m_queue.Find(*first) : nullptr;
+  if (blocked == nullptr || !m_placer.ReserveStart(blocked->spec, m_context.Now())) return;
+  m_reserved = first;
+  m_reserved_spec = blocked->spec;
+  m_queue.Prefer(*first);
+}
+
+OfferOutcome Executor::Place(const WaitingTask& waiting) {
+  if (!m_membership.MayStart()) return OfferOutcome::kNoCapacity;
   const Result<UpstreamId> upstream = m_placer.Choose(waiting.spec, m_context.Now());
-  if (!upstream) return false;
-  if (!m_allotments.TryTake(waiting.spec.team)) return false;
+  if (!upstream) {
+    const bool is_reserved = upstream.error().path == "/declared_run_ms";
+    return is_reserved ? OfferOutcome::kReserved : OfferOutcome::kNoCapacity;
+  }
+  if (!m_allotments.TryTake(waiting.spec.team)) return OfferOutcome::kRefused;
   OwnedTask& task = Hold(waiting, *upstream);
   const auto run = m_waiting_runs.find(waiting.id);
   if (run == m_waiting_runs.end()) {
@@ -140,13 +175,13 @@
     reply.upstream = *upstream;
     reply.epoch = m_upstreams.at(*upstream).epoch;
     m_hooks.send(waiting.from, reply);
-    return true;
+    return OfferOutcome::kTaken;
   }
   task.is_preview = true;
   WaitingRun taken = std::move(run->second);
   m_waiting_runs.erase(run);
   StartRun(waiting.id, std::move(taken));
-  return true;
+  return OfferOutcome::kTaken;
 }
 
 OwnedTask& Executor::Hold(const WaitingTask& waiting, const UpstreamId& upstream) {
@@ -157,6 +192,7 @@
   task.upstream = upstream;
   task.hold_deadline = now + m_context.settings.hold_duration;
   SetPhase(task, OwnedPhase::kHeld);
+  m_attribution.OnStart(upstream, now);
   m_upstreams.at(upstream).tasks.insert(waiting.id);
   m_placer.Reserve(upstream, waiting.spec, now);
   m_fair_share.Add(waiting.spec.team, waiting.spec.demand, now);
@@ -224,7 +260,10 @@
       FreeCapacity(found->second);
       Erase(id);
     }
-    RecordHealth(upstream, reply.status == CallStatus::kOk && reply.result == RunnerTaskState::kSucceeded);
+    RecordHealth(upstream, reply.status == CallStatus::kOk);
+    if (reply.status == CallStatus::kOk) {
+      m_attribution.OnResult(upstream, run.request.spec, reply.result == RunnerTaskState::kSucceeded, m_context.Now());
+    }
     if (reply.status == CallStatus::kRefused) m_hooks.on_refused(upstream, reply.current);
   }
   if (reply.status == CallStatus::kOk) {
@@ -295,6 +334,10 @@
   switch (reply.status) {
     case CallStatus::kOk:
       SetPhase(task, OwnedPhase::kRunning);
+      // Declared run times are far off, so only learned ones count as a bound.
+      if (m_estimator.IsTrusted(task.spec)) {
+        task.overrun = OverrunDeadlines::ForRunTime(task.spec, m_estimator.For(task.spec), m_context.Now());
+      }
       if (task.stop_requested) CallStop(id, task);
       return;
     case CallStatus::kUnknown:
--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "ownership/ownership.h"
 #include "placement/admission_queue.h"
 #include "placement/estimator.h"
+#include "placement/failure_attribution.h"
 #include "placement/fair_share.h"
 #include "placement/placer.h"
 #include "upstream/owned_task.h"
@@ -90,7 +92,9 @@
   };
 
   // Placing and starting.
-  bool Place(const WaitingTask& waiting);
+  OfferOutcome Place(const WaitingTask& waiting);
+  void ReserveBlocked(const OfferReport& report);
+  void LimitReturningDomain();
   bool IsEligible(const OwnedUpstream& upstream) const;
   bool IsOut(const UpstreamInfo& info) const;
   bool HasUsableUpstream() const;
@@ -109,7 +113,8 @@
   void EmitStart(EventKind kind, const AttemptId& id, const OwnedTask& task, const std::string& verdict);
 
   // Reports and results.
-  void RenewAll();
+  void RenewDue();
+  Time NextRenewal(const OwnedUpstream& upstream) const;
   void Renew(const UpstreamId& id, OwnedUpstream& upstream);
   RenewRequest MakeRenewRequest(const OwnedUpstream& upstream) const;
   void OnRenewed(const UpstreamId& id, std::int64_t epoch, Time sent_at, const RenewRequest& request,
@@ -127,6 +132,7 @@
   void RequestStop(const AttemptId& id, OwnedTask& task, StopMode mode);
   void CallStop(const AttemptId& id, const OwnedTask& task);
   void EvacuateOut();
+  void CheckOverruns();
   void RecordHealth(const UpstreamId& id, bool success);
 
   Context& m_context;
@@ -138,6 +144,10 @@
   FairShare m_fair_share;
   Estimator m_estimator;
   AdmissionQueue m_queue;
+  FailureAttribution m_attribution;
+  bool m_was_out = false;               ///< the own failure domain was out of service in the last configuration
+  std::optional<AttemptId> m_reserved;  ///< waiting task for which a start is reserved
+  TaskSpec m_reserved_spec;
   std::map<UpstreamId, OwnedUpstream> m_upstreams;
   std::map<AttemptId, OwnedTask> m_tasks;
   std::map<AttemptId, WaitingRun> m_waiting_runs;
--- a/src/upstream/executor_reports.cc
+++ b/src/upstream/executor_reports.cc
@@ -1,6 +1,7 @@
 // Reports of the runners, results of tasks, and changes of ownership.
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <utility>
 
 #include "configuration/config_store.h"
@@ -11,6 +12,11 @@
 namespace jaymast {
 namespace {
 
+/// How often due reports are looked for, and the shortest time between two reports of a runner.
+constexpr Duration kReportSweep = std::chrono::milliseconds(50);
+constexpr Duration kMinReportInterval = std::chrono::milliseconds(100);
+
+constexpr Duration kOverrunSweep = std::chrono::seconds(1);
 constexpr Duration kResendInterval = std::chrono::seconds(1);
 
 /// Longer than any frame can be delayed between entries.
@@ -150,9 +156,25 @@
   OnLost(id);
 }
 
-void Executor::RenewAll() {
-  for (auto& [id, upstream] : m_upstreams) Renew(id, upstream);
-  m_context.After(m_context.settings.upstream_renew_interval, [this] { RenewAll(); });
+void Executor::RenewDue() {
+  const Time now = m_context.Now();
+  for (auto& [id, upstream] : m_upstreams) {
+    if (now >= std::min(upstream.next_renewal, NextRenewal(upstream))) Renew(id, upstream);
+  }
+  m_context.After(kReportSweep, [this] { RenewDue(); });
+}
+
+Time Executor::NextRenewal(const OwnedUpstream& upstream) const {
+  // The report is read when the first task is expected to have ended, so that its capacity and its caller do not wait
+  // for the next regular renewal.
+  Time next = upstream.next_renewal;
+  for (const AttemptId& id : upstream.tasks) {
+    const OwnedTask& task = m_tasks.at(id);
+    if (task.is_preview || task.phase != OwnedPhase::kRunning) continue;
+    const Time end = task.phase_since + std::chrono::milliseconds(m_estimator.For(task.spec).run_ms);
+    next = std::min(next, std::max(end, upstream.answered_at + kMinReportInterval));
+  }
+  return next;
 }
 
 RenewRequest Executor::MakeRenewRequest(const OwnedUpstream& upstream) const {
@@ -175,6 +197,7 @@
   if (upstream.is_renewing) return;
   upstream.is_renewing = true;
   const Time now = m_context.Now();
+  upstream.next_renewal = now + m_context.settings.upstream_renew_interval;
   const RenewRequest request = MakeRenewRequest(upstream);
   m_context.effects.CallUpstream(id, upstream.info.address, request, now + m_context.settings.upstream_call_timeout,
                                  [this, id, epoch = upstream.epoch, now, request](const UpstreamReply& reply) {
@@ -248,8 +271,12 @@
     FreeCapacity(task);
     return Erase(report.id);
   }
-  RecordHealth(id, report.state != RunnerTaskState::kFailed);
-  m_estimator.Record(task.spec, report.run_ms, report.usage);
+  RecordHealth(id, true);
+  const bool is_judged = report.state == RunnerTaskState::kSucceeded || report.state == RunnerTaskState::kFailed;
+  if (is_judged) {
+    m_attribution.OnResult(id, task.spec, report.state == RunnerTaskState::kSucceeded, m_context.Now());
+  }
+  if (report.state == RunnerTaskState::kSucceeded) m_estimator.Record(task.spec, report.run_ms, report.usage);
   End(report.id, OutcomeOf(report.state), report.output, report.run_ms, true);
 }
 
@@ -365,6 +392,27 @@
                                  [](const UpstreamReply& /*reply*/) {});
 }
 
+void Executor::CheckOverruns() {
+  const Time now = m_context.Now();
+  for (auto& [id, task] : m_tasks) {
+    const bool is_watched = task.phase == OwnedPhase::kRunning && !task.is_preview && !task.stop_requested;
+    if (!is_watched) continue;
+    const OverrunAction action = task.overrun.ActionAt(now);
+    if (action == task.overrun_action) continue;
+    task.overrun_action = action;
+    const std::optional<StopMode> mode = ToStopMode(action);
+    if (!mode) continue;
+    task.stop_mode = *mode;
+    if (*mode == StopMode::kThrottle) {
+      CallStop(id, task);
+    } else if (task.spec.semantics != Semantics::kAtMostOnce) {
+      // An at-most-once task could not be started again, so it is only throttled.
+      RequestStop(id, task, *mode);
+    }
+  }
+  m_context.After(kOverrunSweep, [this] { CheckOverruns(); });
+}
+
 void Executor::EvacuateOut() {
   for (auto& [id, task] : m_tasks) {
     const auto upstream = m_upstreams.find(task.upstream);
--- a/src/upstream/owned_task.h
+++ b/src/upstream/owned_task.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 #include "core/peer_message.h"
 #include "model/task_spec.h"
+#include "placement/overrun.h"
 
 namespace jaymast {
 
@@ -32,7 +33,9 @@
   Time hold_deadline;
   Time phase_since;              ///< reports requested before this time do not tell about the phase
   std::int64_t start_by_ms = 0;  ///< after this time on the runner's clock a lost start cannot take effect
-  Time next_send;                ///< when the result is sent again
+  OverrunDeadlines overrun;      ///< when the task runs longer than expected
+  OverrunAction overrun_action = OverrunAction::kNone;
+  Time next_send;  ///< when the result is sent again
   TaskResult result;
 };
 
--- a/src/upstream/owned_upstream.h
+++ b/src/upstream/owned_upstream.h
@@ -22,6 +22,7 @@
   bool is_reachable = true;
   bool is_renewing = false;
   std::int64_t runner_now_ms = 0;  ///< the runner's clock in its last answer
+  Time next_renewal;               ///< when the runner is asked at the latest
   Time answered_at;                ///< when that answer arrived
   UpstreamHealth health;
   std::set<AttemptId> tasks;
