--- a/src/configuration/operations.cc
+++ b/src/configuration/operations.cc
@@ -122,7 +122,7 @@
   ReadRequest read;
   read.keys = {PlanKey(plan), ConfirmedKey(plan), std::string(kConfigKey)};
   ++m_open_plans;
-  m_table.Read(std::move(read), [this, request, plan, base_version](const ReadReply& reply) {
+  m_table.Read(read, [this, request, plan, base_version](const ReadReply& reply) {
     --m_open_plans;
     OnPlanRead(request, plan, base_version, reply);
   });
@@ -261,7 +261,7 @@
   m_checking = true;
   ReadRequest request;
   request.prefixes = {std::string(kEntryPrefix), std::string(kOwnerPrefix)};
-  m_table.Read(std::move(request), [this](const ReadReply& reply) {
+  m_table.Read(request, [this](const ReadReply& reply) {
     m_checking = false;
     std::vector<WaitingConfirm> done;
     for (const auto& [request_id, waiting] : m_waiting) {
--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -144,7 +144,7 @@
   const std::string own_prefix = std::string(kEntryPrefix) + m_context.settings.domain.value() + ".";
   request.prefixes.push_back(is_full ? std::string(kEntryPrefix) : own_prefix);
   if (has_owners) request.prefixes.push_back(OwnerPrefix(m_context.settings.domain));
-  m_table.Read(std::move(request), [this, is_full, has_owners](const ReadReply& reply) {
+  m_table.Read(request, [this, is_full, has_owners](const ReadReply& reply) {
     m_syncing = false;
     if (reply.available) OnSynced(is_full, has_owners, reply);
     m_ownership.Evaluate();
--- a/src/core/table_client.cc
+++ b/src/core/table_client.cc
@@ -58,7 +58,7 @@
   });
 }
 
-void TableClient::Read(ReadRequest request, ReadDone done) {
+void TableClient::Read(const ReadRequest& request, ReadDone done) {
   m_context.effects.Read(request, [this, done = std::move(done)](const ReadReply& reply) {
     m_reachable = reply.available;
     done(reply);
--- a/src/core/table_client.h
+++ b/src/core/table_client.h
@@ -35,7 +35,7 @@
   void Commit(std::vector<Condition> conditions, std::vector<Write> writes, CommitDone done,
               std::function<void()> on_unknown = nullptr);
 
-  void Read(ReadRequest request, ReadDone done);
+  void Read(const ReadRequest& request, ReadDone done);
 
   /// Takes one write from the budget.
   /// @return false when the budget of this moment is used up
--- a/src/limits/allotments.cc
+++ b/src/limits/allotments.cc
@@ -106,7 +106,7 @@
   if (counts.empty() || from.empty() || from == m_context.self) return done({}, {});
   ReadRequest request;
   for (const auto& [team, count] : counts) request.keys.push_back(RowKey(team));
-  m_table.Read(std::move(request), [this, counts, from, done = std::move(done)](const ReadReply& reply) {
+  m_table.Read(request, [this, counts, from, done = std::move(done)](const ReadReply& reply) {
     if (!reply.available) return;
     std::vector<Condition> conditions;
     std::vector<Write> writes;
@@ -127,7 +127,7 @@
   for (const TeamId& team : teams) {
     ReadRequest request;
     request.keys.push_back(RowKey(team));
-    m_table.Read(std::move(request), [this, team](const ReadReply& reply) {
+    m_table.Read(request, [this, team](const ReadReply& reply) {
       if (reply.available) OnRow(team, reply.rows);
       m_hooks.on_raised();
     });
@@ -147,7 +147,7 @@
   for (const auto& [team, count] : lent->second.counts) request.keys.push_back(RowKey(team));
   // The rows are read before the count is dropped, so that the allotment which has moved away is known to be gone.
   const std::uint64_t sequence = lent->second.sequence;
-  m_table.Read(std::move(request), [this, upstream, sequence](const ReadReply& reply) {
+  m_table.Read(request, [this, upstream, sequence](const ReadReply& reply) {
     if (!reply.available) {
       m_context.After(kSettleRetryInterval, [this, upstream] { Settle(upstream); });
       return;
@@ -211,7 +211,7 @@
   m_teams[team].adjusting = true;
   ReadRequest request;
   request.keys.push_back(RowKey(team));
-  m_table.Read(std::move(request), [this, team, change = std::move(change)](const ReadReply& reply) {
+  m_table.Read(request, [this, team, change = std::move(change)](const ReadReply& reply) {
     if (!reply.available) {
       m_teams[team].adjusting = false;
       m_teams[team].wanted = 0;
--- a/src/membership/lifecycle.cc
+++ b/src/membership/lifecycle.cc
@@ -37,6 +37,8 @@
   using initial_state = Joining;
 
   // clang-format off
+  // The name is required by Boost.MSM.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   struct transition_table : boost::mpl::vector<
       Row<Joining,    Joined,        Recovering, none, none>,
       Row<Joining,    StopRequested, Draining,   none, none>,
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -55,21 +55,22 @@
 }
 
 std::optional<EntryId> Router::ChooseForPreview(const TaskSpec& spec, const std::set<EntryId>& tried) {
-  if (!tried.contains(m_context.self) && IsUsable(spec, m_context.self, m_executor.MakeSummary(), true))
-    return m_context.self;
+  const bool fits_here =
+      !tried.contains(m_context.self) && IsUsable(spec, m_context.self, m_executor.MakeSummary(), true);
+  if (fits_here) return m_context.self;
   for (const bool own_domain_only : {true, false}) {
-    const std::optional<EntryId> fitting = BetterOfTwo(Candidates(spec, tried, true, own_domain_only));
+    std::optional<EntryId> fitting = BetterOfTwo(Candidates(spec, tried, true, own_domain_only));
     if (fitting) return fitting;
   }
-  const std::optional<EntryId> any = BetterOfTwo(Candidates(spec, tried, false, false));
+  std::optional<EntryId> any = BetterOfTwo(Candidates(spec, tried, false, false));
   if (any) return any;
   return BetterOfTwo(Candidates(spec, {}, false, false));
 }
 
 std::optional<EntryId> Router::ChooseForDurable(const TaskSpec& spec, const std::set<EntryId>& tried) {
-  const std::optional<EntryId> fitting = BetterOfTwo(Candidates(spec, tried, true, false));
+  std::optional<EntryId> fitting = BetterOfTwo(Candidates(spec, tried, true, false));
   if (fitting) return fitting;
-  const std::optional<EntryId> any = BetterOfTwo(Candidates(spec, tried, false, false));
+  std::optional<EntryId> any = BetterOfTwo(Candidates(spec, tried, false, false));
   if (any) return any;
   return BetterOfTwo(Candidates(spec, {}, false, false));
 }
--- a/src/tasks/journal.cc
+++ b/src/tasks/journal.cc
@@ -89,7 +89,7 @@
   }
   ++m_open_writes;
   auto shared = std::make_shared<Batch>(std::move(batch));
-  m_table.Read(std::move(request), [this, shared](const ReadReply& reply) {
+  m_table.Read(request, [this, shared](const ReadReply& reply) {
     --m_open_writes;
     std::set<std::string> present;
     for (const Row& row : reply.rows) present.insert(row.key);
--- a/src/tasks/task_adoption.cc
+++ b/src/tasks/task_adoption.cc
@@ -46,7 +46,7 @@
 void TaskManager::LoadJournal(const EntryId& home) {
   ReadRequest request;
   request.prefixes.push_back(JournalPrefix(home));
-  m_table.Read(std::move(request), [this, home](const ReadReply& reply) {
+  m_table.Read(request, [this, home](const ReadReply& reply) {
     if (!reply.available) {
       m_adopted.erase(home);
       return;
--- a/src/tasks/task_dispatch.cc
+++ b/src/tasks/task_dispatch.cc
@@ -274,7 +274,7 @@
   const HomeTask* task = Find(id);
   ReadRequest request;
   request.keys.push_back(OwnerKey(task->domain, task->upstream));
-  m_table.Read(std::move(request), [this, id](const ReadReply& reply) {
+  m_table.Read(request, [this, id](const ReadReply& reply) {
     HomeTask* current = Find(id);
     if (current == nullptr || current->phase != TaskPhase::kStarted || reply.rows.empty()) return;
     const Result<OwnerRecord> record = DecodeOwnerRecord(reply.rows.front().value);
--- a/src/tasks/task_manager.cc
+++ b/src/tasks/task_manager.cc
@@ -215,7 +215,7 @@
   const std::string key = IdempotencyRowKey(spec);
   ReadRequest request;
   request.keys.push_back(key);
-  m_table.Read(std::move(request), [this, id, key, submission, spec](const ReadReply& reply) {
+  m_table.Read(request, [this, id, key, submission, spec](const ReadReply& reply) {
     const auto open = m_submissions.find(submission);
     if (open == m_submissions.end()) return;
     if (reply.available && !reply.rows.empty()) {
@@ -387,7 +387,7 @@
   if (m_membership.HasRecord(home) && home != m_context.self) return QueryHome(home, call);
   ReadRequest request;
   request.keys.push_back(AdoptKey(home));
-  m_table.Read(std::move(request), [this, call](const ReadReply& reply) {
+  m_table.Read(request, [this, call](const ReadReply& reply) {
     if (!reply.available) {
       return AnswerForwarded(call, kStatusUnavailable,
                              Error{ErrorId::kStoreUnavailable, "", "the home entry of the task cannot be found"});
--- a/src/upstream/executor.cc
+++ b/src/upstream/executor.cc
@@ -239,8 +239,9 @@
   task.spec.body.clear();
   ++m_open_runs;
   EmitStart(EventKind::kStartSent, id, task, "");
+  const Time deadline = run.deadline;
   m_context.effects.CallUpstream(
-      task.upstream, upstream.info.address, request, run.deadline,
+      task.upstream, upstream.info.address, request, deadline,
       [this, id, run = std::move(run)](const UpstreamReply& reply) { OnRunAnswered(id, run, reply); });
 }
 
--- a/src/upstream/upstream_health.cc
+++ b/src/upstream/upstream_health.cc
@@ -80,6 +80,8 @@
   };
 
   // clang-format off
+  // The name is required by Boost.MSM.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   struct transition_table : boost::mpl::vector<
       Row<Healthy, Success, none,    Clear,   none>,
       Row<Healthy, Failure, none,    Count,   none>,
