Count only members when a submission has a gang beside other tasks

Cause: TaskManager::Submit took all gang tasks of a request for one gang and the number of all tasks of the request for its size. A gang beside other tasks was never complete and waited for ever, and two gangs of one request became one. Change: AssignGangs groups the members by the gang that they name and counts them.

--- a/src/tasks/task_manager.cc
+++ b/src/tasks/task_manager.cc
@@ -12,6 +12,7 @@
 #include "model/codec.h"
 #include "routing/router.h"
 #include "tasks/idempotency.h"
+#include "tasks/submission_gangs.h"
 
 namespace jaymast {
 namespace {
@@ -105,16 +106,11 @@
   submission.wait_until = wait_until;
   submission.accept_by = std::max(wait_until, m_context.Now() + kAcceptTimeout);
   submission.open_accepts = specs.size();
-  GangId gang;
   for (TaskSpec& spec : specs) {
     spec.id = NewTaskId();
-    if (spec.work_class == WorkClass::kGang) {
-      if (gang.empty()) gang = GangId(fmt::format("{}-g{}", m_context.self.value(), m_next_gang++));
-      spec.gang = gang;
-      spec.gang_size = static_cast<std::int64_t>(specs.size());
-    }
     submission.tasks.push_back(spec.id);
   }
+  AssignGangs(specs, [this] { return GangId(fmt::format("{}-g{}", m_context.self.value(), m_next_gang++)); });
   m_context.timers.At(wait_until, [this, call] { AnswerSubmission(call, true); });
   for (TaskSpec& spec : specs) Accept(std::move(spec), call);
 }
