--- a/src/core/entry_requests.cc
+++ b/src/core/entry_requests.cc
@@ -48,6 +48,11 @@
 void EntryNode::OnRequest(RequestId id, const Request& request) {
   m_effects.Open(id);
   if (!m_config.IsLoaded() || IsStopped()) {
+    // Without a configuration the key cannot be checked, so the event names no team.
+    Event event;
+    event.kind = EventKind::kRequestReceived;
+    event.request = id;
+    m_effects.Emit(event);
     return Refuse(id, kStatusUnavailable, Error{ErrorId::kNotServing, "", "this entry does not serve yet"});
   }
   std::visit(RequestVisitor{*this, id}, request);
