--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,6 +15,7 @@
 build=${1:-build}
 shift || true
 out=out/demo
+# shellcheck source=lib/site.sh
 source scripts/lib/site.sh
 
 readonly kWaitAttempts=40  # at 1 s each, for the end of all work
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -7,7 +7,7 @@
   libboost1.81-dev libflatbuffers-dev flatbuffers-compiler libcli11-dev
   libtomlplusplus-dev libgoogle-glog-dev librapidcheck-dev libgtest-dev
   libbenchmark-dev prometheus-cpp-dev libssl-dev libxxhash-dev libfmt-dev
-  openssl curl
+  openssl curl python3
 )
 
 missing=()
