Let the fault drill pause and kill the entries that own the most upstreams

Cause: entry e3 owned no upstream in one run, so its crash showed no takeover and the report printed 0.00 s. Change: the drill asks for the owned upstreams first, and the report says how many the entry owned.

--- a/scripts/fault_drill.sh
+++ b/scripts/fault_drill.sh
@@ -72,6 +72,20 @@
   echo "work is left over" >&2
 }
 
+# Number of the entry, of those given, that owns the most upstreams. A fault of an entry without any shows no takeover.
+busiest_entry() {
+  local number owned most=-1 busiest=$1
+  for number in "$@"; do
+    owned=$(curl -sf --max-time 1 -H "Authorization: Bearer demo-operator" \
+      "http://$(entry_address "$number")/v1/status" | grep -o '"owned_upstreams":[0-9]*' | cut -d: -f2) || owned=0
+    if [ "${owned:-0}" -gt "$most" ]; then
+      most=${owned:-0}
+      busiest=$number
+    fi
+  done
+  echo "$busiest"
+}
+
 # Runs one phase: the load, and beside it the fault function, which sets fault_from and fault_to.
 phase() {
   local name=$1 duration_ms=$2 entry=$3 fault=$4 from
@@ -95,7 +109,7 @@
 }
 
 pause_entry() {
-  stopped_pid=${entry_pid[2]}
+  stopped_pid=${entry_pid[$paused]}
   fault_from=$(now_us)
   kill -STOP "$stopped_pid"
   sleep 8
@@ -107,10 +121,10 @@
 # The restart waits longer than the lease, so that the other entry of the domain has to take over.
 kill_entry() {
   fault_from=$(now_us)
-  kill -KILL "${entry_pid[3]}"
-  wait "${entry_pid[3]}" 2>/dev/null || true
+  kill -KILL "${entry_pid[$killed]}"
+  wait "${entry_pid[$killed]}" 2>/dev/null || true
   sleep 6
-  start_entry 3
+  start_entry "$killed"
   fault_to=$(now_us)
 }
 
@@ -148,8 +162,10 @@
 save_config
 
 phase calm-before "$kCalmMs" "" ""
-phase pause 14000 e2 pause_entry
-phase kill 14000 e3 kill_entry
+paused=$(busiest_entry 1 2)
+phase pause 14000 "e$paused" pause_entry
+killed=$(busiest_entry 3 4)
+phase kill 14000 "e$killed" kill_entry
 phase outage 28000 "" table_outage
 phase lost-answers 14000 "" lost_answers
 phase failing-runner 14000 "" failing_runner
@@ -159,7 +175,7 @@
 stop_site
 
 # The callers of the entry that was killed saw a closed connection instead of an answer.
-PYTHONPATH=scripts/lib python3 -c 'import site_log, sys; site_log.write_facts(sys.argv[1], ["e3"])' "$out"
+PYTHONPATH=scripts/lib python3 -c 'import site_log, sys; site_log.write_facts(sys.argv[1], [sys.argv[2]])' "$out" "e$killed"
 code=0
 "$build/jaymast-timeline" --check --facts "$out/facts.json" "$out"/*.events >"$out/check.txt" || code=$?
 tail -n 1 "$out/check.txt"
--- a/scripts/lib/drill_report.py
+++ b/scripts/lib/drill_report.py
@@ -53,13 +53,16 @@
     """Seconds from the fault until each upstream of the entry has been fenced by its next owner."""
     lost = {upstream for upstream, process in owners_at(events, phase["fault_from"]).items()
             if process == phase["entry"]}
+    count = len(lost)
+    if not lost:
+        return "none owned"
     last = phase["fault_from"]
     for event in events:
         if phase["fault_from"] < event["t_us"] <= phase["to"] and event["event"] == "owner_fenced":
             if event["upstream"] in lost:
                 lost.remove(event["upstream"])
                 last = event["t_us"]
-    return MISSING if lost else f"{(last - phase['fault_from']) / site_log.MICROS:.2f}"
+    return MISSING if lost else f"{(last - phase['fault_from']) / site_log.MICROS:.2f} ({count} of {phase['entry']})"
 
 
 def replies(events, phase):
