--- a/scripts/lib/drill_report.py
+++ b/scripts/lib/drill_report.py
@@ -31,9 +31,9 @@
     return sum(stream["wrong"] for name, stream in load.items() if name != "added")
 
 
-def preview_rate(phase, load):
-    """Good previews a second of scheduled load."""
-    return load["preview"]["good"] / (phase["duration_ms"] / 1000)
+def good_part(load):
+    """Part of the scheduled previews that got a good answer in time. The number scheduled varies by phase."""
+    return load["preview"]["good"] / sum(load["preview"]["outcomes"].values())
 
 
 def owners_at(events, at):
@@ -129,7 +129,7 @@
     phases = site_log.read_json_lines(os.path.join(folder, "phases.jsonl"))
     calm = [phase for phase in phases if not phase["fault_from"]]
     violations = violation_times(check)
-    reference = sum(preview_rate(phase, load_result(folder, phase["name"])) for phase in calm) / len(calm)
+    reference = sum(good_part(load_result(folder, phase["name"])) for phase in calm) / len(calm)
     rows = [["fault", "wrong", "violations", "upstreams owned again s", "last failed to first good s",
              "end of fault to first good s", "goodput ratio"]]
     is_bad = False
@@ -142,11 +142,11 @@
             owned = ownership_recovery(events, phase) if phase["entry"] else "-"
             cells = [owned, answer_recovery(events, phase), first_answer(events, phase)]
         is_bad = is_bad or wrong > 0 or any(cell.startswith(MISSING) for cell in cells)
-        rows.append([phase["name"], wrong, count, *cells, f"{preview_rate(phase, load) / reference:.3f}"])
+        rows.append([phase["name"], wrong, count, *cells, f"{good_part(load) / reference:.3f}"])
     stop = sum(at >= phases[-1]["to"] for at in violations)
     rows.append(["stop of the site", "-", stop, "-", "-", "-", "-"])
     print(site_log.table(rows))
-    print(f"reference: {reference:.1f} good previews a second without a fault, mean of {len(calm)} phases")
+    print(f"reference: {reference:.4f} of the previews good without a fault, mean of {len(calm)} phases")
     print(f"violations in the whole run: {len(violations)}\n")
     print_loads(folder, phases)
     print()
