--- a/src/apps/capacity_entry.h
+++ b/src/apps/capacity_entry.h
@@ -32,6 +32,7 @@
   double rows_read = 0;
   double bytes_read = 0;  ///< requests and replies as JSON, without HTTP headers
   double table_writes = 0;
+  double conflicts = 0;  ///< writes that a condition refused
   double rows_written = 0;
   double bytes_written = 0;
   double peer_messages = 0;
@@ -39,10 +40,12 @@
   double probe_messages = 0;  ///< the part of the messages that are probes of running tasks and their answers
   double probe_bytes = 0;
   double upstream_calls = 0;
-  double upstream_bytes = 0;  ///< requests and replies as JSON, without HTTP headers
-  double list_bytes = 0;      ///< polled instance lists as JSON
-  double core_ns = 0;         ///< processor time inside the decision core
-  double codec_ns = 0;        ///< processor time of encoding requests and decoding replies outside the core
+  double upstream_bytes = 0;                     ///< requests and replies as JSON, without HTTP headers
+  std::map<std::string, double> reads_by_kind;   ///< by the part of the first key before the slash
+  std::map<std::string, double> writes_by_kind;  ///< transactions, by the same part of the first written key
+  double list_bytes = 0;                         ///< polled instance lists as JSON
+  double core_ns = 0;                            ///< processor time inside the decision core
+  double codec_ns = 0;  ///< processor time of encoding requests and decoding replies outside the core
 };
 
 class CapacityEntry;
@@ -99,10 +102,12 @@
   void Commit(const Transaction& transaction, CommitCallback done) override {
     const Outside outside(*this);
     ++m_counters.table_writes;
+    if (!transaction.writes.empty()) ++m_counters.writes_by_kind[KindOf(transaction.writes.front().key)];
     m_counters.rows_written += static_cast<double>(transaction.writes.size());
     m_counters.bytes_written += Encoded([&] { return EncodeTableRequest(transaction).body; });
     After(kTableLatency, [this, transaction, done = InProcess(std::move(done))] {
       const CommitReply reply = m_surroundings.table.Commit(transaction);
+      if (reply.status == CommitStatus::kConflict) ++m_counters.conflicts;
       After(kTableLatency, [done, reply] { done(reply); });
     });
   }
@@ -110,6 +115,7 @@
   void Read(const ReadRequest& request, ReadCallback done) override {
     const Outside outside(*this);
     ++m_counters.table_reads;
+    if (!request.keys.empty()) ++m_counters.reads_by_kind[KindOf(request.keys.front())];
     m_counters.bytes_read += Encoded([&] { return EncodeTableRequest(request).body; });
     After(kTableLatency, [this, request, done = InProcess(std::move(done))] {
       const ReadReply reply = m_surroundings.table.Read(request);
@@ -178,6 +184,8 @@
   static constexpr Duration kTableLatency = std::chrono::milliseconds(1);
   static constexpr Duration kPollInterval = std::chrono::seconds(1);
 
+  static std::string KindOf(const std::string& key) { return key.substr(0, key.find('/')); }
+
   /// Nanoseconds of processor time of this thread.
   static double ProcessorTime() {
     constexpr double kNanosPerSecond = 1e9;
--- a/src/apps/capacity_fleet.h
+++ b/src/apps/capacity_fleet.h
@@ -39,13 +39,13 @@
   }
 
   /// Starts the fleet and waits until ownership and the long tasks have settled.
-  void WarmUp() {
+  void WarmUp(Duration settle_time) {
     RunFor(kJoinTime);
     SubmitLongTasks();
     m_flow_until = Time::max();
     Flow(m_size.starts, false);
     Flow(m_size.previews, true);
-    RunFor(kSettleTime);
+    RunFor(settle_time);
   }
 
   void RunFor(Duration time) { m_parts.world.clock.RunUntil(Now() + time); }
@@ -141,7 +141,6 @@
   static constexpr std::int64_t kTasksPerRequest = 50;
   static constexpr std::size_t kBodyBytes = 256;
   static constexpr Duration kJoinTime = std::chrono::seconds(15);
-  static constexpr Duration kSettleTime = std::chrono::seconds(25);
   static constexpr Duration kPreviewDeadline = std::chrono::seconds(1);
 
   static double Millis(Duration time) { return static_cast<double>(time.count()) / 1000.0; }
--- a/src/apps/jaymast_capacity.cc
+++ b/src/apps/jaymast_capacity.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <iostream>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,19 @@
   return largest / seconds;
 }
 
+/// Rates of the kinds of rows.
+void AddKinds(CapacityReport::Figures& figures, const std::string& name, const std::vector<CapacityCounters>& all,
+              std::map<std::string, double> CapacityCounters::*kinds, double seconds) {
+  for (const char* kind : {"allot", "config", "entry", "owner", "task"}) {
+    double sum = 0;
+    for (const CapacityCounters& one : all) {
+      const auto found = (one.*kinds).find(kind);
+      if (found != (one.*kinds).end()) sum += found->second;
+    }
+    figures.emplace_back(fmt::format("{} {}/s", kind, name), sum / static_cast<double>(all.size()) / seconds);
+  }
+}
+
 CapacityReport::Figures RatesOf(const std::vector<CapacityCounters>& all, double seconds) {
   const auto mean = [&](double CapacityCounters::*counter) { return Mean(all, counter, seconds); };
   return {
@@ -52,6 +66,7 @@
       {"rows read/s", mean(&CapacityCounters::rows_read)},
       {"table bytes read/s", mean(&CapacityCounters::bytes_read)},
       {"table writes/s", mean(&CapacityCounters::table_writes)},
+      {"write conflicts/s", mean(&CapacityCounters::conflicts)},
       {"rows written/s", mean(&CapacityCounters::rows_written)},
       {"table bytes written/s", mean(&CapacityCounters::bytes_written)},
       {"peer messages/s", mean(&CapacityCounters::peer_messages)},
@@ -92,13 +107,16 @@
   return {unusual.messages - usual.messages, unusual.bytes - usual.bytes};
 }
 
-CapacityReport::Figures MeasureFleet(const FleetSize& size, std::int64_t seconds, std::uint64_t seed, bool events) {
+CapacityReport::Figures MeasureFleet(const FleetSize& size, std::int64_t settle, std::int64_t seconds,
+                                     std::uint64_t seed, bool events) {
   constexpr Duration kChangeTime = std::chrono::seconds(10);
   constexpr Duration kReplaceTime = std::chrono::seconds(20);
   CapacityFleet fleet(size, seed);
-  fleet.WarmUp();
+  fleet.WarmUp(std::chrono::seconds(settle));
   const auto counters = fleet.Measure(std::chrono::seconds(seconds));
   CapacityReport::Figures figures = RatesOf(counters, static_cast<double>(seconds));
+  AddKinds(figures, "reads", counters, &CapacityCounters::reads_by_kind, static_cast<double>(seconds));
+  AddKinds(figures, "writes", counters, &CapacityCounters::writes_by_kind, static_cast<double>(seconds));
   figures.emplace_back("entries ready", fleet.ReadyEntries());
   figures.emplace_back("tasks running", fleet.RunningTasks());
   figures.emplace_back("replies refused", fleet.refused());
@@ -145,6 +163,7 @@
   FleetSize base;
   std::vector<std::string> names;
   std::int64_t seconds = 10;
+  std::int64_t settle = 25;
   std::uint64_t seed = 1;
   bool events = false;
   std::string svg;
@@ -156,6 +175,9 @@
   app.add_option("--starts", base.starts, "Task starts a second")->capture_default_str();
   app.add_option("--previews", base.previews, "Previews a second")->capture_default_str();
   app.add_option("--seconds", seconds, "Simulated seconds measured")->capture_default_str()->check(CLI::Range(1, 600));
+  app.add_option("--settle", settle, "Simulated seconds between the submission of the long tasks and the measurement")
+      ->capture_default_str()
+      ->check(CLI::Range(1, 3600));
   app.add_option("--seed", seed, "Seed of the entries' random numbers")->capture_default_str();
   app.add_flag("--events", events, "Also measure a configuration change and the replacement of an entry");
   app.add_option("--svg", svg, "Write line plots to this file");
@@ -163,7 +185,7 @@
   jaymast::CapacityReport report;
   if (names.empty()) {
     report.Begin("one fleet, by entries");
-    report.Add(static_cast<double>(base.entries), jaymast::MeasureFleet(base, seconds, seed, events));
+    report.Add(static_cast<double>(base.entries), jaymast::MeasureFleet(base, settle, seconds, seed, events));
     report.End();
   }
   for (const std::string& name : names) {
@@ -178,7 +200,7 @@
     for (const std::int64_t value : found->sizes) {
       FleetSize size = base;
       size.*(found->field) = value;
-      report.Add(static_cast<double>(value), jaymast::MeasureFleet(size, seconds, seed, events));
+      report.Add(static_cast<double>(value), jaymast::MeasureFleet(size, settle, seconds, seed, events));
     }
     report.End();
   }
