Ask other entries only for the allotment that is missing

Cause: Allotments::CommitUpdate() asked all holders for what an entry can use even when its own allotment covered it. The timer after the request raised the wanted amount again, so the request repeated for ever, and all holders then wrote the same row at once.

--- a/src/limits/allotments.cc
+++ b/src/limits/allotments.cc
@@ -234,7 +234,9 @@
   Holders holders = state.holders;
   if (!change(holders)) {
     state.adjusting = false;
-    const std::int64_t missing = Useful(state);
+    // Only what the own allotment does not cover. Asking for more repeats for ever, because each answer raises `wanted`
+    // again, and all holders then write the same row at once.
+    const std::int64_t missing = state.used + Useful(state) - Allowed(team);
     state.wanted = 0;
     if (missing > 0) AskHolders(team, missing);
     return;
