Read the records of all entries before they look expired

Cause: with more than 16 peers the records of other failure domains were read every 5 s, which the renewal timer stretched to 6 s, while an entry of another domain tries to expire a record that it saw unchanged for 5.5 s. Each entry so tried to expire the live entries. The condition on the version refused it.

--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -13,8 +13,10 @@
 
 constexpr int kStatusUnavailable = 503;
 
-/// Interval of reading the records of all failure domains. The own one is read with each renewal.
-constexpr Duration kFullReadInterval = std::chrono::seconds(5);
+/// Interval of reading the records of all failure domains. The own one is read with each renewal. Reads happen on the
+/// renewal timer, so the actual interval is up to one renewal interval longer. It must stay below the 5.5 s after which
+/// an entry of another domain tries to expire an unchanged record, or every live record is tried.
+constexpr Duration kFullReadInterval = std::chrono::seconds(4);
 
 /// The same while there are few entries.
 constexpr Duration kSmallFullReadInterval = std::chrono::seconds(1);
