Refuse epochs and configuration versions that cannot be raised

Cause: owner rows, runner messages and the configuration accepted counters up to INT64_MAX, and the next owner or the next confirmed change adds one, which overflows. Seen: the tests for the epoch of a runner reply, the epoch of an owner row and the version of a configuration read the largest number without an error. Change: counters from outside are at most 2^53.

--- a/src/model/codec.cc
+++ b/src/model/codec.cc
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "base/bounds.h"
 #include "base/field_reader.h"
 
 namespace jaymast {
@@ -295,7 +296,7 @@
 Result<ClusterConfig> ClusterConfigFromJson(const json::object& object, const std::string& path) {
   FieldReader reader(object, path);
   ClusterConfig config;
-  config.version = reader.Int("version", 0, 0, INT64_MAX);
+  config.version = reader.Int("version", 0, 0, kMaxCounter);
   ReadTeams(reader, path, config);
   ReadKeys(reader, path, config);
   config.domains_out = ReadIds<DomainId>(reader, "domains_out");
--- a/src/model/runner_codec.cc
+++ b/src/model/runner_codec.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/bounds.h"
 #include "base/field_reader.h"
 #include "model/codec.h"
 #include "model/path.h"
@@ -35,7 +36,7 @@
 OwnerToken ReadToken(FieldReader& reader) {
   OwnerToken token;
   token.owner = EntryId(reader.RequiredString("owner", kMaxNameBytes));
-  token.epoch = reader.Int("epoch", 0, 0, INT64_MAX);
+  token.epoch = reader.Int("epoch", 0, 0, kMaxCounter);
   return token;
 }
 
@@ -47,7 +48,7 @@
 
 AttemptId ReadAttempt(FieldReader& reader) {
   const TaskId task(reader.RequiredString("task", kMaxNameBytes));
-  return {task, reader.Int("attempt", 0, 0, INT64_MAX)};
+  return {task, reader.Int("attempt", 0, 0, kMaxCounter)};
 }
 
 std::vector<AttemptId> ReadAttempts(FieldReader& reader, const char* name) {
@@ -141,7 +142,7 @@
   RunTaskRequest request;
   request.token = ReadToken(reader);
   request.spec = ReadSpec(reader, task);
-  request.attempt = reader.Int("attempt", 0, 0, INT64_MAX);
+  request.attempt = reader.Int("attempt", 0, 0, kMaxCounter);
   request.home = EntryId(reader.String("home", "", kMaxNameBytes));
   request.start_by_ms = reader.Int("start_by_ms", 0, 0, kMaxTimeMs);
   return FinishReading<UpstreamRequest>(reader, std::move(request));
@@ -151,7 +152,7 @@
   StartTaskRequest request;
   request.token = ReadToken(reader);
   request.spec = ReadSpec(reader, task);
-  request.attempt = reader.Int("attempt", 0, 0, INT64_MAX);
+  request.attempt = reader.Int("attempt", 0, 0, kMaxCounter);
   request.home = EntryId(reader.String("home", "", kMaxNameBytes));
   request.checkpoint = reader.String("checkpoint", "", kMaxCheckpointBytes);
   request.lease_until_ms = reader.Int("lease_until_ms", 0, 0, kMaxTimeMs);
@@ -161,7 +162,7 @@
 Result<UpstreamRequest> ReadStop(FieldReader& reader, const TaskId& task, StopMode mode) {
   StopTaskRequest request;
   request.token = ReadToken(reader);
-  request.id = {task, reader.Int("attempt", 0, 0, INT64_MAX)};
+  request.id = {task, reader.Int("attempt", 0, 0, kMaxCounter)};
   request.mode = mode;
   return FinishReading<UpstreamRequest>(reader, std::move(request));
 }
@@ -254,8 +255,8 @@
   reply.status = reader.Enum("status", CallStatus::kUnknown);
   reply.reason = reader.String("reason", "", kMaxReasonBytes);
   reply.current.owner = EntryId(reader.String("owner", "", kMaxNameBytes));
-  reply.current.epoch = reader.Int("epoch", 0, 0, INT64_MAX);
-  reply.previous_epoch = reader.Int("previous_epoch", 0, 0, INT64_MAX);
+  reply.current.epoch = reader.Int("epoch", 0, 0, kMaxCounter);
+  reply.previous_epoch = reader.Int("previous_epoch", 0, 0, kMaxCounter);
   reply.now_ms = reader.Int("now_ms", 0, 0, kMaxTimeMs);
   reply.result = reader.Enum("result", RunnerTaskState::kSucceeded);
   reply.output = reader.String("output", "", kMaxOutputBytes);
--- a/src/ownership/owner_record.cc
+++ b/src/ownership/owner_record.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "base/bounds.h"
 #include "base/field_reader.h"
 #include "model/codec.h"
 
@@ -33,10 +34,10 @@
   FieldReader reader(*object, "owner");
   OwnerRecord record;
   record.owner = EntryId(reader.String("owner", "", kMaxTextBytes));
-  record.epoch = reader.Int("epoch", 0, 0, INT64_MAX);
-  record.fenced_epoch = reader.Int("fenced_epoch", 0, 0, INT64_MAX);
+  record.epoch = reader.Int("epoch", 0, 0, kMaxCounter);
+  record.fenced_epoch = reader.Int("fenced_epoch", 0, 0, kMaxCounter);
   record.covered_by = EntryId(reader.String("covered_by", "", kMaxTextBytes));
-  record.reset_epoch = reader.Int("reset_epoch", 0, 0, INT64_MAX);
+  record.reset_epoch = reader.Int("reset_epoch", 0, 0, kMaxCounter);
   if (reader.error()) return *reader.error();
   return record;
 }
