Bound the amounts of an allotment row

Cause: the reader took any whole number, so a sum could overflow, and a negative amount would let others exceed a limit. Seen: the new tests read INT64_MAX as an amount, and dropped amounts above INT64_MAX. Change: the row has its own codec, which moves amounts to the nearest bound from 0 to the largest limit of a team.

--- a/src/limits/allotments.cc
+++ b/src/limits/allotments.cc
@@ -1,14 +1,13 @@
 #include "limits/allotments.h"
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <numeric>
 #include <utility>
 
 #include "configuration/config_store.h"
 #include "core/table_client.h"
+#include "limits/allotment_row.h"
 #include "membership/membership.h"
-#include "model/codec.h"
 
 namespace jaymast {
 namespace {
@@ -33,24 +32,6 @@
                          [](std::int64_t sum, const auto& holder) { return sum + holder.second; });
 }
 
-std::string Encode(const std::map<EntryId, std::int64_t>& holders) {
-  boost::json::object object;
-  for (const auto& [entry, amount] : holders) {
-    if (amount > 0) object[entry.value()] = amount;
-  }
-  return boost::json::serialize(object);
-}
-
-std::map<EntryId, std::int64_t> Decode(const std::string& text) {
-  std::map<EntryId, std::int64_t> holders;
-  const Result<boost::json::object> object = ParseObject(text, "allot");
-  if (!object) return holders;
-  for (const auto& [entry, amount] : *object) {
-    if (amount.is_int64()) holders[EntryId(std::string_view(entry))] = amount.get_int64();
-  }
-  return holders;
-}
-
 }  // namespace
 
 Allotments::Allotments(Context& context, TableClient& table, const ConfigStore& config, const Membership& membership,
@@ -112,12 +93,12 @@
     std::vector<Write> writes;
     for (const Row& row : reply.rows) {
       const TeamId team(row.key.substr(kRowPrefix.size()));
-      Holders holders = Decode(row.value);
+      Holders holders = DecodeAllotments(row.value);
       const std::int64_t moved = std::min(counts.at(team), holders[from]);
       holders[from] -= moved;
       holders[m_context.self] += moved;
       conditions.push_back({row.key, row.version});
-      writes.push_back({row.key, Encode(holders)});
+      writes.push_back({row.key, EncodeAllotments(holders)});
     }
     done(std::move(conditions), std::move(writes));
   });
@@ -226,7 +207,7 @@
   TeamState& state = m_teams[team];
   if (rows.empty() || rows.front().version < state.row_version) return;
   state.row_version = rows.front().version;
-  state.holders = Decode(rows.front().value);
+  state.holders = DecodeAllotments(rows.front().value);
 }
 
 void Allotments::CommitUpdate(const TeamId& team, const Change& change) {
@@ -239,7 +220,8 @@
     if (missing > 0) AskHolders(team, missing);
     return;
   }
-  m_table.Commit({{RowKey(team), state.row_version}, m_membership.IsMember()}, {{RowKey(team), Encode(holders)}},
+  m_table.Commit({{RowKey(team), state.row_version}, m_membership.IsMember()},
+                 {{RowKey(team), EncodeAllotments(holders)}},
                  [this, team, change, holders](CommitOutcome outcome, std::int64_t version) {
                    TeamState& current = m_teams[team];
                    current.adjusting = false;
