--- a/src/tasks/journal_record.cc
+++ b/src/tasks/journal_record.cc
@@ -71,6 +71,8 @@
     Result<TaskSpec> spec = TaskSpecFromJson(*object, "journal/spec");
     if (!spec) return spec.error();
     record.spec = std::move(*spec);
+  } else if (record.kind == RecordKind::kAccepted) {
+    reader.Fail("spec", "required object");
   }
   if (reader.error()) return *reader.error();
   return record;
