--- a/scripts/fault_drill.sh
+++ b/scripts/fault_drill.sh
@@ -3,8 +3,8 @@
 #
 # usage: scripts/fault_drill.sh [BUILD]
 # JAYMAST_DRILL_TIMEOUT_MS is the time that callers wait for an answer [2000].
-# Needs a build, see scripts/build.sh. Takes about 2 min. Everything is written to out/drill/. Ends with a code other than
-# 0 when an answer was wrong, a guarantee was violated, an accepted task has no end, an entry did not recover or a
+# Needs a build, see scripts/build.sh. Takes about 2 min. Everything is written to out/drill/. Ends with a code that is
+# not 0 when an answer was wrong, a guarantee was violated, an accepted task has no end, an entry did not recover or a
 # process ended with an error. All processes are stopped at the end, by their ids.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -94,7 +94,8 @@
   echo "phase $name"
   from=$(now_us)
   "$build/jaymast-load" --key demo-desk --team desk --preview-rate "$kPreviewRate" --submit-rate "$kSubmitRate" \
-    --duration-ms "$duration_ms" --run-ms 20 --timeout-ms "$kTimeoutMs" --json "${load_entries[@]}" >"$out/load-$name.json" &
+    --duration-ms "$duration_ms" --run-ms 20 --timeout-ms "$kTimeoutMs" --json "${load_entries[@]}" \
+    >"$out/load-$name.json" &
   load_pid=$!
   if [ -n "$fault" ]; then
     sleep "$kFaultDelayS"
@@ -104,8 +105,8 @@
   wait "$load_pid" || [ "$?" -eq 3 ]
   load_pid=
   settle
-  printf '{"name":"%s","duration_ms":%s,"entry":"%s","from":%s,"to":%s,"fault_from":%s,"fault_to":%s,"entries":%s}\n' \
-    "$name" "$duration_ms" "$entry" "$from" "$(now_us)" "$fault_from" "$fault_to" "$site_entries" >>"$out/phases.jsonl"
+  printf '{"name":"%s","entry":"%s","from":%s,"to":%s,"fault_from":%s,"fault_to":%s,"entries":%s}\n' \
+    "$name" "$entry" "$from" "$(now_us)" "$fault_from" "$fault_to" "$site_entries" >>"$out/phases.jsonl"
 }
 
 pause_entry() {
@@ -175,7 +176,8 @@
 stop_site
 
 # The callers of the entry that was killed saw a closed connection instead of an answer.
-PYTHONPATH=scripts/lib python3 -c 'import site_log, sys; site_log.write_facts(sys.argv[1], [sys.argv[2]])' "$out" "e$killed"
+PYTHONPATH=scripts/lib python3 -c 'import site_log, sys; site_log.write_facts(sys.argv[1], [sys.argv[2]])' \
+  "$out" "e$killed"
 code=0
 "$build/jaymast-timeline" --check --facts "$out/facts.json" "$out"/*.events >"$out/check.txt" || code=$?
 tail -n 1 "$out/check.txt"
--- a/scripts/lib/demo_report.py
+++ b/scripts/lib/demo_report.py
@@ -106,7 +106,8 @@
         part = dominant[team] / whole if whole else 0
         rows.append([team, f"{part:.3f}", f"{teams[team]['share'] / shares:.3f}"])
     print(site_log.table(rows))
-    print(f"over {sum(end - begin for begin, end in busy) / site_log.MICROS:.1f} s in which both teams have waiting work")
+    seconds = sum(end - begin for begin, end in busy) / site_log.MICROS
+    print(f"over {seconds:.1f} s in which both teams have waiting work")
 
 
 def print_cost(samples):
