--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <chrono>
 #include <utility>
@@ -223,7 +224,7 @@
       return;
     case EntryState::kRecovering:
       m_ownership.Evaluate();
-      if (m_ownership.IsSettled() || m_context.Now() >= m_recover_until) {
+      if ((m_ownership.IsSettled() && HasRoute()) || m_context.Now() >= m_recover_until) {
         m_membership.Handle(LifecycleEvent::kRecovered);
       }
       return;
@@ -238,6 +239,14 @@
   }
 }
 
+bool EntryNode::HasRoute() const {
+  if (m_executor.HasUsableUpstream()) return true;
+  const auto& peers = m_membership.peers();
+  return std::any_of(peers.begin(), peers.end(), [this](const auto& item) {
+    return m_membership.IsHeard(item.first) && item.second.summary.serving;
+  });
+}
+
 void EntryNode::OnStopRequested() {
   if (m_membership.state() == EntryState::kDraining || IsStopped()) return;
   m_membership.Handle(LifecycleEvent::kStopRequested);
@@ -322,6 +331,10 @@
 
 void EntryNode::OnRequestGone(RequestId id) {
   m_effects.Close(id);
+  Event event;
+  event.kind = EventKind::kCallerLeft;
+  event.request = id;
+  m_effects.Emit(event);
   m_previews.OnRequestGone(id);
   m_tasks.OnRequestGone(id);
 }
--- a/src/core/entry_node.h
+++ b/src/core/entry_node.h
@@ -76,6 +76,10 @@
   void OnState(EntryState state);
   void OnPeerGone(const EntryId& id);
   void Advance();
+
+  /// Whether a preview could be placed: this entry owns a usable upstream, or a serving peer is heard. An entry that
+  /// reports itself ready before that would refuse previews although others have room.
+  bool HasRoute() const;
   void AdvanceDrain();
   void ReclaimAllotments();
   void SendSummaries();
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -40,11 +40,12 @@
   kRunnerRefused,     ///< emitted by runners: task, attempt, upstream, epoch; detail: reason
   kRunnerFenced,      ///< emitted by runners: upstream, epoch, other: owner
   kFault,             ///< emitted by tests: detail: the injected fault
+  kCallerLeft,        ///< request; the caller closed its connection before the answer
 };
 
 template <>
 struct EnumNames<EventKind> {
-  static constexpr std::array<std::string_view, 27> kNames = {
+  static constexpr std::array<std::string_view, 28> kNames = {
       "entry_state",       "entry_expired",     "lease_renewed",
       "owner_claimed",     "owner_fenced",      "owner_released",
       "config_installed",  "config_committed",  "config_accepted",
@@ -53,7 +54,7 @@
       "start_sent",        "start_answered",    "upstream_ejected",
       "upstream_restored", "allotment_changed", "key_refused",
       "plan_made",         "runner_started",    "runner_ended",
-      "runner_refused",    "runner_fenced",     "fault",
+      "runner_refused",    "runner_fenced",     "fault",             "caller_left",
   };
 };
 
--- a/src/testing/invariants/answers_checker.h
+++ b/src/testing/invariants/answers_checker.h
@@ -21,6 +21,8 @@
 
   void OnEvent(const Event& event) override {
     if (event.kind == EventKind::kRequestReceived) m_received[event.request] = event;
+    // A caller that closed its connection gets no answer; its timeout is shorter than the service time.
+    if (event.kind == EventKind::kCallerLeft) m_received.erase(event.request);
     if (event.kind != EventKind::kReplySent) return;
     const bool is_known = m_received.contains(event.request) || facts().callers.contains(event.request);
     if (!is_known) Report(event, "a response without a request");
--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -66,6 +66,9 @@
   /// Offers free capacity to the waiting tasks.
   void Dispatch();
 
+  /// Whether at least one owned upstream may get new tasks.
+  bool HasUsableUpstream() const;
+
   /// Refuses all tasks that wait for capacity, for a planned stop.
   void RefuseAllWaiting();
 
@@ -97,7 +100,6 @@
   void LimitReturningDomain();
   bool IsEligible(const OwnedUpstream& upstream) const;
   bool IsOut(const UpstreamInfo& info) const;
-  bool HasUsableUpstream() const;
   void UpdateEligibility();
   void UpdateEligibility(const UpstreamId& id);
   OwnedTask& Hold(const WaitingTask& waiting, const UpstreamId& upstream);
