Refuse idempotency keys and paths that cannot be stored as JSON

Such a record is unreadable for the entry that adopts the tasks. Seen: found by reading the code; the tests were not run on the code before the change. Change: keys and path segments must be UTF-8, the key with its suffix at most 128 bytes, and problems encode other bytes. Conclusion: the route tests pass under address and undefined behaviour sanitizers in a hand-linked program.

--- a/src/model/path.cc
+++ b/src/model/path.cc
@@ -4,6 +4,8 @@
 #include <boost/url/pct_string_view.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 
+#include "model/utf8.h"
+
 namespace jaymast {
 
 std::string EncodeSegment(std::string_view text) {
@@ -21,6 +23,8 @@
     const auto encoded = boost::urls::make_pct_string_view(boost::urls::string_view(segment.data(), segment.size()));
     if (!encoded) return error;
     segments.push_back(encoded->decode());
+    // Names from the path are repeated in JSON bodies.
+    if (!IsUtf8(segments.back())) return error;
     rest.remove_prefix(segment.size());
   }
   return segments;
--- a/src/net/problem.cc
+++ b/src/net/problem.cc
@@ -2,14 +2,24 @@
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <string>
+
+#include "model/path.h"
+#include "model/utf8.h"
 
 namespace jaymast {
+namespace {
+
+/// A text that may repeat bytes of a malformed request, in a form that fits into JSON.
+std::string Printable(const std::string& text) { return IsUtf8(text) ? text : EncodeSegment(text); }
+
+}  // namespace
 
 HttpResponse ProblemResponse(int status, const Error& error, Verdict verdict) {
   const boost::json::object body = {{"type", ToString(error.id)},
                                     {"status", status},
-                                    {"detail", error.reason},
-                                    {"path", error.path},
+                                    {"detail", Printable(error.reason)},
+                                    {"path", Printable(error.path)},
                                     {"verdict", ToString(verdict)}};
   HttpResponse response;
   response.status = status;
--- a/src/runtime/http_routes.cc
+++ b/src/runtime/http_routes.cc
@@ -13,6 +13,7 @@
 #include "base/field_reader.h"
 #include "model/codec.h"
 #include "model/path.h"
+#include "model/utf8.h"
 #include "net/problem.h"
 
 namespace jaymast {
@@ -70,9 +71,15 @@
   if (key.size() > kMaxIdempotencyKeyBytes) {
     return FieldError("Idempotency-Key", fmt::format("longer than {} bytes", kMaxIdempotencyKeyBytes));
   }
+  // The key becomes part of the journal, which is JSON.
+  if (!IsUtf8(key)) return FieldError("Idempotency-Key", "expected UTF-8");
   for (std::size_t i = 0; i < specs.size(); ++i) {
     std::string& own = specs[i].idempotency_key;
     if (own.empty()) own = specs.size() == 1 ? key : fmt::format("{}#{}", key, i);
+    if (own.size() > kMaxIdempotencyKeyBytes) {
+      return FieldError("Idempotency-Key",
+                        fmt::format("longer than {} bytes with the suffix of task {}", kMaxIdempotencyKeyBytes, i));
+    }
   }
   return std::nullopt;
 }
--- a/src/runtime/http_routes_test.cc
+++ b/src/runtime/http_routes_test.cc
@@ -2,7 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/json.hpp>
 #include <string>
+#include <utility>
+#include <vector>
+
+#include "model/codec.h"
+#include "net/problem.h"
+#include "testing/property_check.h"
 
 namespace jaymast {
 namespace {
@@ -80,6 +87,73 @@
   EXPECT_EQ(PathOf(Map("GET", "/v1/tasks/t1?wait_ms=x")), "wait_ms");
 }
 
+// Guards against a key that is accepted, but makes the journal record of its task unreadable for the next home entry.
+TEST(HttpRoutesTest, IdempotencyKeysThatCannotBeStoredAreRefused) {
+  const auto submit = [](const std::string& key, const std::string& body) {
+    return PathOf(Map("POST", "/v1/tasks", body, {{"Idempotency-Key", key}}));
+  };
+  const std::string two = R"({"tasks":[{},{}]})";
+  EXPECT_EQ(submit("order-\xff", "{}"), "Idempotency-Key");
+  EXPECT_EQ(submit("order-\xed\xa0\x80", "{}"), "Idempotency-Key");
+  EXPECT_EQ(submit(std::string(128, 'k'), two), "Idempotency-Key");
+  EXPECT_EQ(submit(std::string(128, 'k'), "{}"), "no error");
+  EXPECT_EQ(submit(std::string(126, 'k'), two), "no error");
+  EXPECT_EQ(submit("order-\xc3\xa9", two), "no error");
+}
+
+// Guards against a body of a caller that crashes the entry, or a task that is accepted but cannot be stored.
+TEST(HttpRoutesTest, MutatedRequestsAreRefusedOrStorable) {
+  const std::vector<std::pair<std::string, std::string>> samples = {
+      {"/v1/tasks", R"({"team":"desk","class":"batch","body":"x","wait_ms":5})"},
+      {"/v1/tasks", R"({"tasks":[{"team":"a"},{"team":"b","idempotency_key":"own"}],"wait_ms":0})"},
+      {"/v1/previews", R"({"team":"desk","body":"span"})"},
+      {"/v1/plans", R"({"intents":[{"type":"set_team","team":"desk","share":2,"limit":4}]})"},
+      {"/v1/plans/p1/confirm", R"({"base_version":4})"},
+  };
+  CheckWithFixedSeed(2'000, [&] {
+    const auto& [target, body] = samples[*rc::gen::inRange<std::size_t>(0, samples.size())];
+    const std::string key = MutatedBytes("order-7");
+    const std::string path = *rc::gen::inRange(0, 4) == 0 ? "/" + MutatedBytes(target.substr(1)) : target;
+    const Result<Request> request = Map("POST", path, MutatedJson(body), {{"Idempotency-Key", key}});
+    if (!request) {
+      RC_ASSERT(IsLocated(request.error()));
+      return;
+    }
+    const auto* submit = std::get_if<SubmitRequest>(&*request);
+    if (submit == nullptr) return;
+    for (const TaskSpec& spec : submit->specs) {
+      const Result<boost::json::object> stored = ParseObject(boost::json::serialize(ToJson(spec)), "");
+      RC_ASSERT(stored.has_value());
+      RC_ASSERT(*TaskSpecFromJson(*stored, "") == spec);
+    }
+  });
+}
+
+// Guards against a malformed header that is taken for a key.
+TEST(HttpRoutesTest, OnlyWellFormedBearerKeysAreRead) {
+  const auto secret = [](const std::string& header) {
+    return BearerSecret(HttpRequest{"GET", "/v1/status", {{"Authorization", header}}, ""});
+  };
+  for (const std::string header : {"", "Bearer", "Bearer ", "Basic secret", "Bearersecret", "secret"}) {
+    EXPECT_EQ(secret(header), "") << header;
+  }
+  CheckWithFixedSeed(1'000, [&] {
+    const std::string header = MutatedBytes("Bearer secret");
+    const std::string read = secret(header);
+    RC_ASSERT(read.empty() || header.ends_with(" " + read));
+  });
+}
+
+// Guards against an answer that no JSON parser accepts because it repeats bytes of a malformed target.
+TEST(HttpRoutesTest, ProblemsOfMalformedTargetsAreValidJson) {
+  CheckWithFixedSeed(1'000, [] {
+    const Result<Request> request = Map("POST", MutatedBytes("/v1/plans/%ff/confirm"), "[");
+    RC_ASSERT(!request);
+    const HttpResponse http = ProblemResponse(HttpStatusOf(request.error()), request.error(), Verdict::kNotRun);
+    RC_ASSERT(ParseObject(http.body, "").has_value());
+  });
+}
+
 TEST(HttpRoutesTest, UnknownRoutesAreNotFound) {
   for (const std::string target :
        {"/", "/v1", "/v1/nothing", "/v2/tasks", "/v1/status/x", "/v1/explain", "/v1/tasks/a/b"}) {
