Refuse numbers of peer frames that are out of range

Cause: the frame decoder took every 64-bit number. remaining_ms and wait_ms are added to the time, and demands to sums. Seen: the test of eleven such fields decoded all of them before the change. Change: counters are at most 2^53, spans 100 years, amounts 2^40; a negative demand is refused with its field.

--- a/src/net/peer_codec.cc
+++ b/src/net/peer_codec.cc
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <utility>
 
+#include "base/bounds.h"
 #include "net/generated/peer_generated.h"
 
 namespace jaymast {
@@ -14,6 +16,12 @@
 
 constexpr std::size_t kBitsPerByte = 8;
 
+/// Largest amount of a resource in a message, of either sign. Sums over all upstreams and tasks do not overflow.
+constexpr std::int64_t kMaxAmount = std::int64_t{1} << 40U;
+
+/// Largest span of time in a message, of either sign: 100 years in milliseconds. It fits into microseconds.
+constexpr std::int64_t kMaxSpanMs = 100LL * 365 * 24 * 3600 * 1000;
+
 wire::Resources ToWire(const Resources& resources) {
   return {resources.cpu_millis, resources.memory_mb, resources.accelerators, resources.slots};
 }
@@ -120,10 +128,6 @@
   return FinishFrame(builder, Encoder{builder}(message));
 }
 
-Resources FromWire(const wire::Resources& r) { return {r.cpu_millis(), r.memory_mb(), r.accelerators(), r.slots()}; }
-
-AttemptId FromWire(const wire::AttemptId& id) { return {TaskId(id.task()->str()), id.attempt()}; }
-
 /// Reads the table of each kind of message and keeps the name of the first field with a bad value.
 class Decoder {
  public:
@@ -131,40 +135,53 @@
 
   PeerHello Read(const wire::Hello& m) { return {EntryId(m.from()->str()), EntryId(m.to()->str())}; }
   Summary Read(const wire::Summary& m) {
-    return {DomainId(m.domain()->str()), m.serving(),        FromWire(*m.free()),
-            FromWire(*m.largest_free()), m.config_version(), m.handovers()};
+    return {DomainId(m.domain()->str()),
+            m.serving(),
+            Amounts(*m.free(), "free"),
+            Amounts(*m.largest_free(), "largest_free"),
+            Counter(m.config_version(), "config_version"),
+            Counter(m.handovers(), "handovers")};
   }
   RunRequest Read(const wire::RunRequest& m) {
-    return {m.call(), Spec(*m.spec()), m.attempt(), m.remaining_ms(), m.config_version()};
+    return {m.call(), Spec(*m.spec()), Counter(m.attempt(), "attempt"), Span(m.remaining_ms(), "remaining_ms"),
+            Counter(m.config_version(), "config_version")};
   }
   RunReply Read(const wire::RunReply& m) {
     return {
-        m.call(),          FromWire(*m.id()), Enum<Verdict>(m.verdict(), "verdict"), Enum<ErrorId>(m.error(), "error"),
+        m.call(),          Attempt(*m.id()), Enum<Verdict>(m.verdict(), "verdict"), Enum<ErrorId>(m.error(), "error"),
         m.reason()->str(), m.output()->str()};
   }
-  HoldRequest Read(const wire::HoldRequest& m) { return {Spec(*m.spec()), m.attempt(), m.config_version()}; }
+  HoldRequest Read(const wire::HoldRequest& m) {
+    return {Spec(*m.spec()), Counter(m.attempt(), "attempt"), Counter(m.config_version(), "config_version")};
+  }
   HoldReply Read(const wire::HoldReply& m) {
-    return {FromWire(*m.id()),
+    return {Attempt(*m.id()),
             m.granted(),
             Enum<ErrorId>(m.error(), "error"),
             m.reason()->str(),
             UpstreamId(m.upstream()->str()),
-            m.epoch()};
+            Counter(m.epoch(), "epoch")};
+  }
+  StartOrder Read(const wire::StartOrder& m) {
+    return {Spec(*m.spec()), Counter(m.attempt(), "attempt"), m.checkpoint()->str()};
   }
-  StartOrder Read(const wire::StartOrder& m) { return {Spec(*m.spec()), m.attempt(), m.checkpoint()->str()}; }
-  ReleaseHold Read(const wire::ReleaseHold& m) { return {FromWire(*m.id())}; }
+  ReleaseHold Read(const wire::ReleaseHold& m) { return {Attempt(*m.id())}; }
   TaskResult Read(const wire::TaskResult& m) {
-    return {FromWire(*m.id()), Enum<Outcome>(m.outcome(), "outcome"), UpstreamId(m.upstream()->str()), m.run_ms(),
-            m.output()->str()};
+    return {Attempt(*m.id()), Enum<Outcome>(m.outcome(), "outcome"), UpstreamId(m.upstream()->str()),
+            Span(m.run_ms(), "run_ms"), m.output()->str()};
   }
-  TaskResultAck Read(const wire::TaskResultAck& m) { return {FromWire(*m.id())}; }
-  TaskProbe Read(const wire::TaskProbe& m) { return {FromWire(*m.id()), UpstreamId(m.upstream()->str()), m.epoch()}; }
-  TaskRunning Read(const wire::TaskRunning& m) { return {FromWire(*m.id())}; }
-  StopOrder Read(const wire::StopOrder& m) { return {FromWire(*m.id()), Enum<StopMode>(m.mode(), "mode")}; }
+  TaskResultAck Read(const wire::TaskResultAck& m) { return {Attempt(*m.id())}; }
+  TaskProbe Read(const wire::TaskProbe& m) {
+    return {Attempt(*m.id()), UpstreamId(m.upstream()->str()), Counter(m.epoch(), "epoch")};
+  }
+  TaskRunning Read(const wire::TaskRunning& m) { return {Attempt(*m.id())}; }
+  StopOrder Read(const wire::StopOrder& m) { return {Attempt(*m.id()), Enum<StopMode>(m.mode(), "mode")}; }
   ConfigPush Read(const wire::ConfigPush& m) { return {m.config()->str()}; }
-  AllotmentRequest Read(const wire::AllotmentRequest& m) { return {TeamId(m.team()->str()), m.amount()}; }
+  AllotmentRequest Read(const wire::AllotmentRequest& m) {
+    return {TeamId(m.team()->str()), Within(m.amount(), kMaxAmount, "amount")};
+  }
   TaskQuery Read(const wire::TaskQuery& m) {
-    return {m.call(), TaskId(m.task()->str()), TeamId(m.team()->str()), m.cancel(), m.wait_ms()};
+    return {m.call(), TaskId(m.task()->str()), TeamId(m.team()->str()), m.cancel(), Span(m.wait_ms(), "wait_ms")};
   }
   TaskQueryReply Read(const wire::TaskQueryReply& m) {
     return {m.call(), m.status(), Enum<Verdict>(m.verdict(), "verdict"), Enum<ErrorId>(m.error(), "error"),
@@ -179,6 +196,27 @@
     return E{};
   }
 
+  std::int64_t Within(std::int64_t value, std::int64_t bound, const char* field) {
+    if (value >= -bound && value <= bound) return value;
+    if (!m_error) m_error = Error{ErrorId::kInputField, field, "out of range: " + std::to_string(value)};
+    return 0;
+  }
+  std::int64_t Counter(std::int64_t value, const char* field) { return Within(value, kMaxCounter, field); }
+  std::int64_t Span(std::int64_t value, const char* field) { return Within(value, kMaxSpanMs, field); }
+
+  Resources Amounts(const wire::Resources& r, const char* field) {
+    return {Within(r.cpu_millis(), kMaxAmount, field), Within(r.memory_mb(), kMaxAmount, field),
+            Within(r.accelerators(), kMaxAmount, field), Within(r.slots(), kMaxAmount, field)};
+  }
+
+  Resources Demand(const wire::Resources& r) {
+    const Resources demand = Amounts(r, "demand");
+    if (!Resources().FitsIn(demand) && !m_error) m_error = Error{ErrorId::kInputField, "demand", "negative amount"};
+    return demand;
+  }
+
+  AttemptId Attempt(const wire::AttemptId& id) { return {TaskId(id.task()->str()), Counter(id.attempt(), "attempt")}; }
+
   TaskSpec Spec(const wire::TaskSpec& m) {
     TaskSpec spec;
     spec.id = TaskId(m.id()->str());
@@ -186,12 +224,12 @@
     spec.kind = m.kind()->str();
     spec.work_class = Enum<WorkClass>(m.work_class(), "work_class");
     spec.semantics = Enum<Semantics>(m.semantics(), "semantics");
-    spec.demand = FromWire(*m.demand());
-    spec.declared_run_ms = m.declared_run_ms();
+    spec.demand = Demand(*m.demand());
+    spec.declared_run_ms = Span(m.declared_run_ms(), "declared_run_ms");
     spec.body = m.body()->str();
     spec.idempotency_key = m.idempotency_key()->str();
     spec.gang = GangId(m.gang()->str());
-    spec.gang_size = m.gang_size();
+    spec.gang_size = Counter(m.gang_size(), "gang_size");
     spec.domain = DomainId(m.domain()->str());
     return spec;
   }
