--- a/src/runtime/settings_test.cc
+++ b/src/runtime/settings_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "runtime/toml_reader.h"
+#include "testing/property_check.h"
 
 namespace jaymast {
 namespace {
@@ -83,5 +84,21 @@
             "entry.toml:11: core.renew_interval_ms: expected less than lease_duration_ms");
 }
 
+// Guards against a settings file that crashes the program, or an error without file, line and key.
+TEST(SettingsTest, MutatedFilesAreRefusedWithTheirPlace) {
+  CheckWithFixedSeed(2'000, [] {
+    const std::string text = MutatedBytes(kMinimal);
+    Result<TomlReader> reader = TomlReader::ReadText(text, "entry.toml");
+    if (!reader) {
+      RC_ASSERT(reader.error().path.starts_with("entry.toml:"));
+      RC_ASSERT(IsLocated(reader.error()));
+      return;
+    }
+    const Result<Settings> settings = ReadSettings(std::move(*reader));
+    RC_ASSERT(settings.has_value() || settings.error().path.starts_with("entry.toml:"));
+    RC_ASSERT(settings.has_value() || IsLocated(settings.error()));
+  });
+}
+
 }  // namespace
 }  // namespace jaymast
