--- a/src/testing/invariants/graceful_stop_checker.h
+++ b/src/testing/invariants/graceful_stop_checker.h
@@ -15,6 +15,7 @@
   explicit GracefulStopChecker(const Facts& facts) : InvariantChecker("G10 graceful stop", facts) {}
 
  private:
+  static constexpr std::string_view kJoining = "joining";
   static constexpr std::string_view kDraining = "draining";
   static constexpr std::string_view kStopped = "stopped";
   static constexpr std::string_view kLapsed = "lapsed";
@@ -58,6 +59,8 @@
   }
 
   void OnState(const Event& event) {
+    // A process that was killed took its open requests with it; G6 reports those of a process that lives on.
+    if (event.detail == kJoining) m_open[event.process].clear();
     if (event.detail == kDraining) {
       m_draining.insert(event.process);
       for (const auto& [id, request] : m_open[event.process]) m_in_flight.insert(id);
