--- a/src/core/event.h
+++ b/src/core/event.h
@@ -54,7 +54,8 @@
       "start_sent",        "start_answered",    "upstream_ejected",
       "upstream_restored", "allotment_changed", "key_refused",
       "plan_made",         "runner_started",    "runner_ended",
-      "runner_refused",    "runner_fenced",     "fault",             "caller_left",
+      "runner_refused",    "runner_fenced",     "fault",
+      "caller_left",
   };
 };
 
