--- a/src/limits/allotment_row.cc
+++ b/src/limits/allotment_row.cc
@@ -15,14 +15,17 @@
   return boost::json::serialize(object);
 }
 
-std::map<EntryId, std::int64_t> DecodeAllotments(const std::string& text) {
+Result<std::map<EntryId, std::int64_t>> DecodeAllotments(const std::string& text) {
   std::map<EntryId, std::int64_t> holders;
   const Result<boost::json::object> object = ParseObject(text, "allot");
-  if (!object) return holders;
+  if (!object) return object.error();
   for (const auto& [entry, amount] : *object) {
     const EntryId holder{std::string_view(entry)};
     if (amount.is_int64()) holders[holder] = std::clamp<std::int64_t>(amount.get_int64(), 0, kMaxAllotment);
     if (amount.is_uint64()) holders[holder] = kMaxAllotment;
+    if (!amount.is_int64() && !amount.is_uint64()) {
+      return Error{ErrorId::kInputField, "allot/" + holder.value(), "expected a whole number"};
+    }
   }
   return holders;
 }
--- a/src/limits/allotment_row.h
+++ b/src/limits/allotment_row.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/id.h"
+#include "base/result.h"
 
 namespace jaymast {
 
@@ -18,7 +19,7 @@
 ///
 /// Amounts out of range are moved to the nearest bound, so that sums of amounts and their products with a limit cannot
 /// overflow, and too large amounts still count against the limit.
-/// @return the amount of each holder; empty for a malformed value
-std::map<EntryId, std::int64_t> DecodeAllotments(const std::string& text);
+/// @return the amount of each holder, or an error for a malformed value
+Result<std::map<EntryId, std::int64_t>> DecodeAllotments(const std::string& text);
 
 }  // namespace jaymast
--- a/src/limits/allotments.cc
+++ b/src/limits/allotments.cc
@@ -93,7 +93,9 @@
     std::vector<Write> writes;
     for (const Row& row : reply.rows) {
       const TeamId team(row.key.substr(kRowPrefix.size()));
-      Holders holders = DecodeAllotments(row.value);
+      const Result<Holders> decoded = DecodeAllotments(row.value);
+      if (!decoded) return;
+      Holders holders = *decoded;
       const std::int64_t moved = std::min(counts.at(team), holders[from]);
       holders[from] -= moved;
       holders[m_context.self] += moved;
@@ -133,7 +135,9 @@
       m_context.After(kSettleRetryInterval, [this, upstream] { Settle(upstream); });
       return;
     }
-    for (const Row& row : reply.rows) OnRow(TeamId(row.key.substr(kRowPrefix.size())), {row});
+    for (const Row& row : reply.rows) {
+      if (!OnRow(TeamId(row.key.substr(kRowPrefix.size())), {row})) return;
+    }
     const auto current = m_lent.find(upstream);
     if (current != m_lent.end() && current->second.sequence == sequence) Unlend(upstream);
   });
@@ -193,21 +197,24 @@
   ReadRequest request;
   request.keys.push_back(RowKey(team));
   m_table.Read(request, [this, team, change = std::move(change)](const ReadReply& reply) {
-    if (!reply.available) {
+    // A row that cannot be read may hold the whole limit, so nothing is taken from it.
+    if (!reply.available || !OnRow(team, reply.rows)) {
       m_teams[team].adjusting = false;
       m_teams[team].wanted = 0;
       return;
     }
-    OnRow(team, reply.rows);
     CommitUpdate(team, change);
   });
 }
 
-void Allotments::OnRow(const TeamId& team, const std::vector<Row>& rows) {
+bool Allotments::OnRow(const TeamId& team, const std::vector<Row>& rows) {
   TeamState& state = m_teams[team];
-  if (rows.empty() || rows.front().version < state.row_version) return;
+  if (rows.empty() || rows.front().version < state.row_version) return true;
+  Result<Holders> holders = DecodeAllotments(rows.front().value);
+  if (!holders) return false;
   state.row_version = rows.front().version;
-  state.holders = DecodeAllotments(rows.front().value);
+  state.holders = std::move(*holders);
+  return true;
 }
 
 void Allotments::CommitUpdate(const TeamId& team, const Change& change) {
--- a/src/limits/allotments.h
+++ b/src/limits/allotments.h
@@ -96,7 +96,8 @@
   void OnCommitted(const TeamId& team, const Holders& holders, std::int64_t version);
   bool Raise(const TeamId& team, Holders& holders);
   void AskHolders(const TeamId& team, std::int64_t amount);
-  void OnRow(const TeamId& team, const std::vector<Row>& rows);
+  /// @return false when the row is malformed; the last known amounts stay
+  bool OnRow(const TeamId& team, const std::vector<Row>& rows);
   void Prewarm();
   std::int64_t Limit(const TeamId& team) const;
   std::int64_t Own(const TeamState& state) const;
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -122,6 +122,7 @@
   ReadInterval(reader, "upstream_renew_interval_ms", core.upstream_renew_interval);
   ReadInterval(reader, "handover_interval_ms", core.handover_interval);
   ReadInterval(reader, "domain_return_ramp_ms", core.domain_return_ramp);
+  ReadInterval(reader, "drain_wait_ms", core.drain_wait);
   ReadCount(reader, "table_writes_per_second", core.table_writes_per_second);
   ReadCount(reader, "max_queued_tasks", core.max_queued_tasks);
   ReadCount(reader, "max_open_requests", core.max_open_requests);
--- a/src/tasks/task_manager.cc
+++ b/src/tasks/task_manager.cc
@@ -13,60 +13,20 @@
 #include "routing/router.h"
 #include "tasks/idempotency.h"
 #include "tasks/submission_gangs.h"
+#include "tasks/task_response.h"
 
 namespace jaymast {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusAccepted = 202;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusConflict = 409;
-constexpr int kStatusUnavailable = 503;
-constexpr int kStatusTimeout = 504;
 constexpr Duration kProbeSweep = std::chrono::seconds(1);
 constexpr Duration kFirstProbe = std::chrono::seconds(3);
 
+/// How long the tasks of a confirmed plan may take to be accepted before they are submitted again.
+constexpr Duration kPlanSubmitWait = std::chrono::seconds(2);
+
 /// How long a caller waits at least for the acceptance to be recorded.
 constexpr Duration kAcceptTimeout = std::chrono::seconds(5);
 
-/// A forwarded query is repeated, because its home may die or another entry may take the task over.
-constexpr Duration kForwardRepeat = std::chrono::seconds(1);
-
-/// How long a forwarded query may take beyond the time that the caller waits.
-constexpr Duration kForwardMargin = std::chrono::seconds(2);
-
-int StatusOf(const Error& error) {
-  switch (error.id) {
-    case ErrorId::kTaskUnknown:
-      return kStatusNotFound;
-    case ErrorId::kIdempotencyMismatch:
-      return kStatusConflict;
-    case ErrorId::kOutcomeUnknown:
-      return kStatusTimeout;
-    default:
-      return kStatusUnavailable;
-  }
-}
-
-Response ErrorResponse(const Error& error, Verdict verdict) {
-  Response response;
-  response.status = StatusOf(error);
-  response.verdict = verdict;
-  response.error = error;
-  return response;
-}
-
-Verdict VerdictOf(const HomeTask& task) {
-  if (task.HasOutcome()) return task.end.verdict;
-  return task.is_claimed ? Verdict::kMayHaveRun : Verdict::kNotRun;
-}
-
-/// Home entry of a task, which is the part of its id before the last dash.
-EntryId HomeOf(const TaskId& task) {
-  const std::size_t dash = task.value().rfind('-');
-  return EntryId(dash == std::string::npos ? std::string() : task.value().substr(0, dash));
-}
-
 }  // namespace
 
 TaskManager::TaskManager(Context& context, TableClient& table, const ConfigStore& config, const Membership& membership,
@@ -120,7 +80,7 @@
   std::int64_t index = 0;
   for (TaskSpec& spec : specs) spec.idempotency_key = fmt::format("plan/{}/{}", plan.value(), index++);
   m_plan_submissions[m_next_call] = std::move(done);
-  Submit(0, std::move(specs), m_context.Now() + kForwardMargin);
+  Submit(0, std::move(specs), m_context.Now() + kPlanSubmitWait);
 }
 
 void TaskManager::Accept(TaskSpec spec, std::uint64_t submission) {
@@ -319,7 +279,7 @@
                                    ErrorResponse(submission.refused.begin()->second, Verdict::kNotRun));
   }
   Response response;
-  response.status = kStatusOk;
+  response.status = kTaskEnded;
   response.verdict = Verdict::kRan;
   std::string items;
   for (const TaskId& id : submission.tasks) {
@@ -337,191 +297,13 @@
       continue;
     }
     items += DescribeTask(task->second);
-    if (!task->second.HasOutcome()) response.status = kStatusAccepted;
+    if (!task->second.HasOutcome()) response.status = kTaskAccepted;
     response.verdict = std::min(response.verdict, VerdictOf(task->second));
   }
   response.body = fmt::format("{{\"tasks\":[{}]}}", items);
   m_context.effects.Reply(submission.request, response);
 }
 
-std::string TaskManager::DescribeTask(const HomeTask& task) const {
-  const bool has_ended = task.HasOutcome();
-  const bool has_output = has_ended && task.end.state == EndState::kSucceeded;
-  const boost::json::object object = {{"id", task.spec.id.value()},
-                                      {"team", task.spec.team.value()},
-                                      {"kind", task.spec.kind},
-                                      {"class", ToString(task.spec.work_class)},
-                                      {"semantics", ToString(task.spec.semantics)},
-                                      {"state", has_ended ? ToString(task.end.state) : ToString(task.phase)},
-                                      {"attempt", task.attempt},
-                                      {"upstream", task.upstream.value()},
-                                      {"verdict", ToString(VerdictOf(task))},
-                                      {"error", ToString(has_ended ? task.end.error : ErrorId::kNone)},
-                                      {"reason", has_ended && !has_output ? task.end.output : task.wait_reason},
-                                      {"output", has_output ? task.end.output : std::string()}};
-  return boost::json::serialize(object);
-}
-
-void TaskManager::Query(RequestId request, const TeamId& team, const TaskId& id, bool cancel, Time wait_until) {
-  const auto found = m_tasks.find(id);
-  if (found == m_tasks.end()) {
-    const std::uint64_t call = m_next_call++;
-    m_forwarded[call] = Forwarded{request, id, team, cancel, wait_until};
-    return FindHome(id, call);
-  }
-  HomeTask& task = found->second;
-  if (!team.empty() && task.spec.team != team) {
-    return m_context.effects.Reply(
-        request, ErrorResponse(Error{ErrorId::kTaskUnknown, id.value(), "no such task"}, Verdict::kNotRun));
-  }
-  if (cancel) Cancel(task);
-  AddWaiter(Waiter{request, EntryId(), 0, id}, wait_until);
-}
-
-void TaskManager::FindHome(const TaskId& task, std::uint64_t call) {
-  const EntryId home = HomeOf(task);
-  if (m_membership.HasRecord(home) && home != m_context.self) return QueryHome(home, call);
-  ReadRequest request;
-  request.keys.push_back(AdoptKey(home));
-  m_table.Read(request, [this, call](const ReadReply& reply) {
-    if (!reply.available) {
-      return AnswerForwarded(call, kStatusUnavailable,
-                             Error{ErrorId::kStoreUnavailable, "", "the home entry of the task cannot be found"});
-    }
-    if (reply.rows.empty()) {
-      return AnswerForwarded(call, kStatusNotFound, Error{ErrorId::kTaskUnknown, "", "no such task"});
-    }
-    const EntryId adopter(reply.rows.front().value);
-    if (!m_membership.HasRecord(adopter)) return RepeatForwarded(call);
-    QueryHome(adopter, call);
-  });
-}
-
-void TaskManager::QueryHome(const EntryId& home, std::uint64_t call) {
-  const auto found = m_forwarded.find(call);
-  if (found == m_forwarded.end()) return;
-  const Forwarded& query = found->second;
-  if (home == m_context.self) {
-    // The journal of a home that was taken over may still be on its way.
-    if (!m_tasks.contains(query.task)) return RepeatForwarded(call);
-    const Forwarded local = query;
-    m_forwarded.erase(found);
-    return Query(local.request, local.team, local.task, local.cancel, local.wait_until);
-  }
-  const Duration wait = std::max(query.wait_until - m_context.Now(), Duration{0});
-  m_hooks.send(home, TaskQuery{call, query.task, query.team, query.cancel, ToMillis(wait)});
-  RepeatForwarded(call);
-}
-
-void TaskManager::RepeatForwarded(std::uint64_t call) {
-  m_context.After(kForwardRepeat, [this, call] {
-    const auto found = m_forwarded.find(call);
-    if (found == m_forwarded.end()) return;
-    if (m_context.Now() < found->second.wait_until + kForwardMargin) return FindHome(found->second.task, call);
-    AnswerForwarded(call, kStatusUnavailable, Error{ErrorId::kNotServing, "", "the home entry did not answer"});
-  });
-}
-
-void TaskManager::AnswerForwarded(std::uint64_t call, int status, const Error& error) {
-  const auto found = m_forwarded.find(call);
-  if (found == m_forwarded.end()) return;
-  const RequestId request = found->second.request;
-  m_forwarded.erase(found);
-  Response response;
-  response.status = status;
-  response.verdict = status == kStatusNotFound ? Verdict::kNotRun : Verdict::kMayHaveRun;
-  response.error = error;
-  m_context.effects.Reply(request, response);
-}
-
-void TaskManager::OnQuery(const EntryId& from, const TaskQuery& query) {
-  const auto found = m_tasks.find(query.task);
-  const bool is_visible = found != m_tasks.end() && (query.team.empty() || found->second.spec.team == query.team);
-  if (!is_visible) {
-    TaskQueryReply reply;
-    reply.call = query.call;
-    reply.status = kStatusNotFound;
-    reply.error = ErrorId::kTaskUnknown;
-    reply.body = "no such task";
-    return m_hooks.send(from, reply);
-  }
-  if (query.cancel) Cancel(found->second);
-  AddWaiter(Waiter{0, from, query.call, query.task}, m_context.Now() + std::chrono::milliseconds(query.wait_ms));
-}
-
-void TaskManager::OnQueryReply(const TaskQueryReply& reply) {
-  if (reply.error != ErrorId::kNone) {
-    return AnswerForwarded(reply.call, static_cast<int>(reply.status), Error{reply.error, "", reply.body});
-  }
-  const auto found = m_forwarded.find(reply.call);
-  if (found == m_forwarded.end()) return;
-  const RequestId request = found->second.request;
-  m_forwarded.erase(found);
-  Response response;
-  response.status = static_cast<int>(reply.status);
-  response.verdict = reply.verdict;
-  response.body = reply.body;
-  m_context.effects.Reply(request, response);
-}
-
-void TaskManager::AddWaiter(Waiter waiter, Time wait_until) {
-  const HomeTask& task = m_tasks.at(waiter.task);
-  const bool is_due = task.HasOutcome() || m_draining || m_context.Now() >= wait_until;
-  if (is_due) return AnswerWaiter(waiter);
-  const auto range = m_waiters.equal_range(waiter.task);
-  const bool is_repeated = std::any_of(range.first, range.second, [&waiter](const auto& known) {
-    return known.second.peer == waiter.peer && known.second.call == waiter.call &&
-           known.second.request == waiter.request;
-  });
-  if (is_repeated) return;
-  const auto item = m_waiters.emplace(waiter.task, waiter);
-  m_context.timers.At(wait_until, [this, waiter = item->second] {
-    const auto range = m_waiters.equal_range(waiter.task);
-    for (auto found = range.first; found != range.second; ++found) {
-      const Waiter& other = found->second;
-      const bool is_same = other.request == waiter.request && other.peer == waiter.peer && other.call == waiter.call;
-      if (!is_same) continue;
-      m_waiters.erase(found);
-      return AnswerWaiter(waiter);
-    }
-  });
-}
-
-void TaskManager::AnswerWaiters(const TaskId& task) {
-  const auto range = m_waiters.equal_range(task);
-  std::vector<Waiter> waiters;
-  for (auto found = range.first; found != range.second; ++found) waiters.push_back(found->second);
-  m_waiters.erase(range.first, range.second);
-  for (const Waiter& waiter : waiters) AnswerWaiter(waiter);
-}
-
-void TaskManager::AnswerWaiter(const Waiter& waiter) {
-  const auto task = m_tasks.find(waiter.task);
-  if (task == m_tasks.end()) return;
-  const bool has_ended = task->second.HasOutcome();
-  const int status = has_ended ? kStatusOk : kStatusAccepted;
-  const Verdict verdict = VerdictOf(task->second);
-  if (!waiter.peer.empty()) {
-    TaskQueryReply reply;
-    reply.call = waiter.call;
-    reply.status = status;
-    reply.verdict = verdict;
-    reply.body = DescribeTask(task->second);
-    return m_hooks.send(waiter.peer, reply);
-  }
-  Response response;
-  response.status = status;
-  response.verdict = verdict;
-  response.body = DescribeTask(task->second);
-  m_context.effects.Reply(waiter.request, response);
-}
-
-void TaskManager::OnRequestGone(RequestId request) {
-  std::erase_if(m_waiters,
-                [request](const auto& item) { return item.second.peer.empty() && item.second.request == request; });
-  std::erase_if(m_forwarded, [request](const auto& item) { return item.second.request == request; });
-}
-
 void TaskManager::Drain() {
   if (std::exchange(m_draining, true)) return;
   std::vector<TaskId> waited;
--- a/src/tasks/task_manager.h
+++ b/src/tasks/task_manager.h
@@ -158,7 +158,6 @@
   void ResumeAdopted(const std::set<TaskId>& tasks);
 
   HomeTask* Find(const AttemptId& id);
-  std::string DescribeTask(const HomeTask& task) const;
   void EmitTask(EventKind kind, const HomeTask& task, const std::string& detail);
 
   Context& m_context;
--- /dev/null
+++ b/src/tasks/task_response.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+
+#include "base/error.h"
+#include "base/verdict.h"
+#include "core/request.h"
+
+namespace jaymast {
+
+struct HomeTask;
+
+inline constexpr int kTaskEnded = 200;     ///< HTTP status for a task with an outcome
+inline constexpr int kTaskAccepted = 202;  ///< HTTP status for a task that is accepted and has no outcome yet
+inline constexpr int kTaskUnknown = 404;
+inline constexpr int kTaskUnavailable = 503;
+
+/// The answer that refuses a request about tasks.
+Response ErrorResponse(const Error& error, Verdict verdict);
+
+/// Whether a task ran, as far as its home entry knows.
+Verdict VerdictOf(const HomeTask& task);
+
+/// A task as JSON, for answers to callers.
+std::string DescribeTask(const HomeTask& task);
+
+}  // namespace jaymast
