Let previews pass reserved starts and refuse waiting tasks when no upstream is left

Cause: a preview without a declared run time could not be placed on a worker with a reserved start, and a task that waited at an owner stayed there for half of its time after the owner had handed its last upstream over. Change: previews are exempt from reserved starts; an owner without usable upstreams refuses what waits.

--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -243,7 +243,9 @@
 }
 
 bool Placer::LeavesReservedStart(Index index, const Query& query) const {
-  if (m_backfill.reservations().empty()) return true;
+  // A preview ends long before a reserved start matters, also when its run time is not declared.
+  const bool is_exempt = query.spec.work_class == WorkClass::kPreview;
+  if (is_exempt || m_backfill.reservations().empty()) return true;
   return m_backfill.Allows(index, query.task, query.spec.demand, query.expected_end, query.now);
 }
 
--- a/src/upstream/executor_reports.cc
+++ b/src/upstream/executor_reports.cc
@@ -124,6 +124,8 @@
   m_placer.RemoveUpstream(id);
   m_upstreams.erase(upstream);
   UpdateEligibility();
+  // Tasks that wait here go to other owners at once.
+  if (!HasUsableUpstream()) RefuseAllWaiting();
 }
 
 void Executor::OnCommitted(const UpstreamId& id) {
