Renumber the event of a caller that left when logs are checked

Cause: the check of merged logs gives requests unique numbers, but not in caller_left events, so they closed no request.

--- a/src/timeline/log_check.cc
+++ b/src/timeline/log_check.cc
@@ -46,7 +46,9 @@
 class RequestNumbers {
  public:
   void Apply(Event& event) {
-    if (event.kind != EventKind::kRequestReceived && event.kind != EventKind::kReplySent) return;
+    const bool is_about_request = event.kind == EventKind::kRequestReceived || event.kind == EventKind::kReplySent ||
+                                  event.kind == EventKind::kCallerLeft;
+    if (!is_about_request) return;
     const std::pair<std::string, RequestId> local(event.process, event.request);
     if (event.kind == EventKind::kRequestReceived || !m_current.contains(local)) m_current[local] = ++m_last;
     event.request = m_current[local];
--- a/src/timeline/log_test.cc
+++ b/src/timeline/log_test.cc
@@ -54,6 +54,14 @@
   EXPECT_TRUE(CheckTimeline(events, *facts).empty());
 }
 
+// Guards against an event about a request that keeps its local number and so closes no request.
+TEST(LogCheckTest, ACallerThatLeftGetsNoAnswer) {
+  const std::vector<Event> events = {
+      Request("e1", EventKind::kRequestReceived, 1), Request("e1", EventKind::kReplySent, 2),
+      Request("e2", EventKind::kRequestReceived, 3), Request("e2", EventKind::kCallerLeft, 4)};
+  EXPECT_TRUE(CheckTimeline(MergeEvents(events), {}).empty());
+}
+
 TEST(LogCheckTest, FactsAreCheckedWhenTheyAreRead) {
   EXPECT_EQ(LogFactsFromJson(R"({"upstreams":[{"id":"u1"}]})", "f").error().path, "f/upstreams/0/domain");
   EXPECT_EQ(LogFactsFromJson(R"({"tasks":[{"id":7}]})", "f").error().path, "f/tasks/0/id");
