Return the allotments of entries that left or crashed

Cause: only the entry that expired a record reclaimed allotments, so those of an entry that was stopped as planned were never returned. Change: the best-ranked entry of the failure domain reclaims the allotments of holders that a later read of all records does not show, 5 s after that, while every upstream of the domain is fenced and counted by a live entry. Updates that meet a conflict wait 10 ms on average.

--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/hash.h"
 #include "model/codec.h"
 
 namespace jaymast {
@@ -22,6 +23,10 @@
 /// The same while there are few entries.
 constexpr Duration kSmallFullReadInterval = std::chrono::seconds(1);
 
+/// Time between finding that a holder of allotments is gone and reclaiming them. An owner that was fenced by the holder
+/// during an outage has noticed by then and fenced it in turn.
+constexpr Duration kReclaimDelay = std::chrono::seconds(5);
+
 /// Owner rows of a failure domain read per renewal interval, so that the read traffic does not grow with the domain.
 constexpr std::int64_t kOwnerRowsPerInterval = 64;
 
@@ -147,9 +152,11 @@
   const std::string own_prefix = std::string(kEntryPrefix) + m_context.settings.domain.value() + ".";
   request.prefixes.push_back(is_full ? std::string(kEntryPrefix) : own_prefix);
   if (has_owners) request.prefixes.push_back(OwnerPrefix(m_context.settings.domain));
-  m_table.Read(request, [this, is_full, has_owners](const ReadReply& reply) {
+  const std::set<EntryId> absent = m_allotments.AbsentHolders();
+  m_table.Read(request, [this, is_full, has_owners, absent](const ReadReply& reply) {
     m_syncing = false;
     if (reply.available) OnSynced(is_full, has_owners, reply);
+    if (reply.available && has_owners && IsServing()) ReclaimAllotments(absent);
     m_ownership.Evaluate();
   });
 }
@@ -178,7 +185,6 @@
   if (changed) m_next_owner_read = Time();
   m_tasks.OnAdoptRows(RowsWithPrefix(reply.rows, kAdoptPrefix));
   if (IsServing()) m_operations.OnConfirmedRows(RowsWithPrefix(reply.rows, kConfirmedPrefix));
-  ReclaimAllotments();
 }
 
 void EntryNode::OnConfigMissing() {
@@ -197,19 +203,27 @@
   if (m_started) m_membership.Renew();
 }
 
-void EntryNode::OnPeerGone(const EntryId& id) {
-  m_next_owner_read = Time();
-  if (DomainOf(id) == m_context.settings.domain) m_dead.insert(id);
+void EntryNode::OnPeerGone(const EntryId& /*id*/) { m_next_owner_read = Time(); }
+
+bool EntryNode::IsReclaimer(const EntryId& gone) const {
+  const double own_score = RendezvousScore(gone.value(), m_context.self.value(), 1.0);
+  const std::vector<EntryId> candidates = m_membership.OwnerCandidates();
+  return std::none_of(candidates.begin(), candidates.end(), [&gone, own_score](const EntryId& candidate) {
+    return RendezvousScore(gone.value(), candidate.value(), 1.0) > own_score;
+  });
 }
 
-void EntryNode::ReclaimAllotments() {
-  for (auto dead = m_dead.begin(); dead != m_dead.end();) {
-    if (!m_ownership.IsCleared(*dead)) {
-      ++dead;
-      continue;
-    }
-    m_allotments.ReclaimFrom(*dead);
-    dead = m_dead.erase(dead);
+void EntryNode::ReclaimAllotments(const std::set<EntryId>& absent_before_read) {
+  // A holder had a lease record when it wrote the row. If a later read finds none, the entry is gone for good.
+  const Time now = m_context.Now();
+  const std::set<EntryId> absent_now = m_allotments.AbsentHolders();
+  std::erase_if(m_absent, [&absent_now](const auto& item) { return !absent_now.contains(item.first); });
+  for (const EntryId& id : absent_now) {
+    if (absent_before_read.contains(id)) m_absent.try_emplace(id, now + kReclaimDelay);
+  }
+  if (!m_ownership.IsAllCovered()) return;
+  for (const auto& [id, due] : m_absent) {
+    if (now >= due && IsReclaimer(id)) m_allotments.ReclaimFrom(id);
   }
 }
 
--- a/src/core/entry_node.h
+++ b/src/core/entry_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -71,6 +72,7 @@
   void Sync();
   void ReadTable();
   void OnSynced(bool is_full, bool has_owners, const ReadReply& reply);
+  bool IsReclaimer(const EntryId& gone) const;
   void OnConfigMissing();
   void OnConfigInstalled();
   void OnState(EntryState state);
@@ -81,7 +83,7 @@
   /// reports itself ready before that would refuse previews although others have room.
   bool HasRoute() const;
   void AdvanceDrain();
-  void ReclaimAllotments();
+  void ReclaimAllotments(const std::set<EntryId>& absent_before_read);
   void SendSummaries();
   void SendSummary();
   void OnSummary(const EntryId& from, const Summary& summary);
@@ -118,7 +120,7 @@
   TaskManager m_tasks;
   Operations m_operations;
   InstanceList m_instances;
-  std::set<EntryId> m_dead;  ///< entries of the own failure domain whose allotments may be left over
+  std::map<EntryId, Time> m_absent;  ///< holders of allotments without a lease record, and when to reclaim them
   Time m_next_full_read;
   Time m_next_owner_read;
   Time m_recover_until;
--- a/src/limits/allotments.cc
+++ b/src/limits/allotments.cc
@@ -21,6 +21,12 @@
 /// limit.
 constexpr std::int64_t kRaiseStep = 8;
 
+/// One row is read again after this many intervals without a need for more.
+constexpr std::uint64_t kRefreshTicks = 5;
+
+/// Time until an update that met a conflict is tried again. Without it, holders of one row would conflict repeatedly.
+constexpr Duration kConflictBackoff = std::chrono::milliseconds(10);
+
 constexpr Duration kPrewarmInterval = std::chrono::milliseconds(200);
 
 constexpr std::string_view kRowPrefix = "allot/";
@@ -229,16 +235,19 @@
     if (missing > 0) AskHolders(team, missing);
     return;
   }
-  m_table.Commit({{RowKey(team), state.row_version}, m_membership.IsMember()},
-                 {{RowKey(team), EncodeAllotments(holders)}},
-                 [this, team, change, holders](CommitOutcome outcome, std::int64_t version) {
-                   TeamState& current = m_teams[team];
-                   current.adjusting = false;
-                   if (outcome == CommitOutcome::kConflict) return Update(team, change);
-                   current.wanted = 0;
-                   if (outcome != CommitOutcome::kCommitted) return;
-                   OnCommitted(team, holders, version);
-                 });
+  m_table.Commit(
+      {{RowKey(team), state.row_version}, m_membership.IsMember()}, {{RowKey(team), EncodeAllotments(holders)}},
+      [this, team, change, holders](CommitOutcome outcome, std::int64_t version) {
+        TeamState& current = m_teams[team];
+        current.adjusting = false;
+        if (outcome == CommitOutcome::kConflict) {
+          m_context.After(m_context.Jittered(kConflictBackoff), [this, team, change] { Update(team, change); });
+          return;
+        }
+        current.wanted = 0;
+        if (outcome != CommitOutcome::kCommitted) return;
+        OnCommitted(team, holders, version);
+      });
 }
 
 void Allotments::EmitChange(const TeamId& team) {
@@ -279,21 +288,21 @@
   });
 }
 
-void Allotments::ReclaimFrom(const EntryId& dead) {
-  for (const auto& [team, value] : m_config.config().teams) {
-    Update(team, [dead](Holders& holders) { return holders.erase(dead) > 0; });
+std::set<EntryId> Allotments::AbsentHolders() const {
+  std::set<EntryId> absent;
+  for (const auto& [team, state] : m_teams) {
+    for (const auto& [entry, amount] : state.holders) {
+      const bool is_near = amount > 0 && DomainOf(entry) == m_context.settings.domain;
+      if (is_near && !m_membership.HasRecord(entry)) absent.insert(entry);
+    }
   }
+  return absent;
 }
 
-void Allotments::ReturnUnused() {
+void Allotments::ReclaimFrom(const EntryId& gone) {
   for (const auto& [team, state] : m_teams) {
-    Update(team, [this, team = team](Holders& holders) {
-      const std::int64_t own = holders[m_context.self];
-      const std::int64_t kept = std::min(own, m_teams[team].used);
-      m_teams[team].holders[m_context.self] = kept;
-      holders[m_context.self] = kept;
-      return kept != own;
-    });
+    if (!state.holders.contains(gone)) continue;
+    Update(team, [gone](Holders& holders) { return holders.erase(gone) > 0; });
   }
 }
 
@@ -307,6 +316,8 @@
     const std::int64_t wanted = std::max(base, Used(m_prewarmed) + base / 2);
     const bool needs_base = Allowed(m_prewarmed) < wanted && m_membership.IsLeaseValid();
     if (needs_base) Adjust(m_prewarmed);
+    // Shows holders that have left since the row was last read.
+    if (!needs_base && ++m_prewarm_ticks % kRefreshTicks == 0) Refresh({m_prewarmed});
   }
   m_context.After(kPrewarmInterval, [this] { Prewarm(); });
 }
--- a/src/limits/allotments.h
+++ b/src/limits/allotments.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,11 +62,11 @@
   /// Another entry asks for unused allotment.
   void OnRequest(const TeamId& team, std::int64_t amount);
 
-  /// All upstreams of a dead entry were fenced by others: its remaining allotments return to the pool.
-  void ReclaimFrom(const EntryId& dead);
+  /// Holders of the own failure domain that have no lease record as far as this entry knows.
+  std::set<EntryId> AbsentHolders() const;
 
-  /// Returns everything that is not in use, for a planned stop.
-  void ReturnUnused();
+  /// An entry is gone and can start nothing any more: its remaining allotments return to the pool.
+  void ReclaimFrom(const EntryId& gone);
 
   std::int64_t Used(const TeamId& team) const;
 
@@ -113,6 +114,7 @@
   std::map<TeamId, TeamState> m_teams;
   std::map<UpstreamId, Lent> m_lent;
   std::uint64_t m_next_lent = 1;
+  std::uint64_t m_prewarm_ticks = 0;
   TeamId m_prewarmed;  ///< last team that got its base allotment
 };
 
--- a/src/ownership/ownership.cc
+++ b/src/ownership/ownership.cc
@@ -340,9 +340,12 @@
          });
 }
 
-bool Ownership::IsCleared(const EntryId& entry) const {
-  return m_rows_read && std::none_of(m_upstreams.begin(), m_upstreams.end(), [&entry](const auto& item) {
-           return item.second.row.owner == entry || item.second.row.covered_by == entry;
+bool Ownership::IsAllCovered() const {
+  return m_rows_read && std::all_of(m_upstreams.begin(), m_upstreams.end(), [this](const auto& item) {
+           const Upstream& upstream = item.second;
+           if (!upstream.is_listed && upstream.row_version == 0) return true;
+           const OwnerRecord& row = upstream.row;
+           return row.IsFenced() && m_membership.HasRecord(row.owner) && m_membership.HasRecord(row.covered_by);
          });
 }
 
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -89,8 +89,9 @@
   /// Whether releases are still being committed.
   bool IsReleasing() const { return m_open_releases > 0; }
 
-  /// Whether all upstreams that `entry` owned were fenced by others and their tasks counted.
-  bool IsCleared(const EntryId& entry) const;
+  /// Whether every listed upstream is owned by an entry with a lease record which has fenced it and counted its tasks.
+  /// An entry without a record can then start nothing in this failure domain.
+  bool IsAllCovered() const;
 
   /// Owner according to the table, for upstreams of the own failure domain.
   std::optional<EntryId> OwnerOf(const UpstreamId& id) const;
