Do not expire live entries at the end of a store outage

Cause: the time for which a record may stay unchanged went on during an outage, in which nobody can renew. The first entry that reached the table again expired the others: the event logs of a fault drill show three live entries expired at the end of an outage of 20 s, and 54 previews refused meanwhile. Ruled out: a pause of the observer, whose expiry meets a changed version and is refused. Change: after a failed read no peer is expired until the records have been read again, and then their time counts anew.

--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -155,6 +155,7 @@
   const std::set<EntryId> absent = m_allotments.AbsentHolders();
   m_table.Read(request, [this, is_full, has_owners, absent](const ReadReply& reply) {
     m_syncing = false;
+    if (!reply.available) m_membership.OnReadFailed();
     if (reply.available) OnSynced(is_full, has_owners, reply);
     if (reply.available && has_owners && IsServing()) ReclaimAllotments(absent);
     m_ownership.Evaluate();
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -100,7 +100,11 @@
 
 bool Membership::OnRows(const std::string& prefix, const std::vector<Row>& rows) {
   const Time now = m_context.Now();
+  const Time expires_at = now + m_context.settings.lease_duration + m_context.settings.drift_bound;
   bool changed = false;
+  if (std::exchange(m_read_failed, false)) {
+    for (auto& [id, peer] : m_peers) peer.expires_at = std::max(peer.expires_at, expires_at);
+  }
   for (const Row& row : rows) {
     const EntryId id(row.key.substr(kEntryPrefix.size()));
     if (id == m_context.self) continue;
@@ -113,7 +117,7 @@
     if (peer.version >= row.version) continue;
     peer.version = row.version;
     peer.record = *record;
-    peer.expires_at = now + m_context.settings.lease_duration + m_context.settings.drift_bound;
+    peer.expires_at = expires_at;
   }
   return RemoveAbsentPeers(prefix, rows) || changed;
 }
@@ -154,7 +158,7 @@
 }
 
 void Membership::ExpirePeers() {
-  if (!IsLeaseValid() || m_leaving) return;
+  if (!IsLeaseValid() || m_leaving || m_read_failed) return;
   for (auto& [id, peer] : m_peers) {
     if (peer.is_expiring || !IsExpiryDue(id, peer)) continue;
     peer.is_expiring = true;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -47,6 +47,9 @@
   /// @return whether a peer came or went
   bool OnRows(const std::string& prefix, const std::vector<Row>& rows);
 
+  /// The records could not be read. Peers could not renew them either, so their time counts anew from the next read.
+  void OnReadFailed() { m_read_failed = true; }
+
   void OnSummary(const EntryId& from, const Summary& summary);
 
   /// Expires the peers whose record has stayed unchanged for long enough.
@@ -105,6 +108,7 @@
   Time m_lease_deadline;
   Time m_store_lost_until;            ///< until then a failed renewal proves that the store is unreachable
   std::uint64_t m_renewal_timer = 0;  ///< number of the timer that may start the next renewal
+  bool m_read_failed = false;
   bool m_renewing = false;
   bool m_renew_again = false;
   bool m_leaving = false;
