Name HTTP status codes in one place

Cause: the same codes were defined in fourteen files under two families of names, and in the tasks slice under a third. Change: base/http_status.h; a sum in the views loses its misleading name. Conclusion: behaviour is unchanged.

--- a/src/configuration/operations.cc
+++ b/src/configuration/operations.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/http_status.h"
 #include "membership/entry_record.h"
 #include "membership/membership.h"
 #include "model/codec.h"
@@ -18,13 +19,6 @@
 
 namespace json = boost::json;
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusAccepted = 202;
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusConflict = 409;
-constexpr int kStatusUnavailable = 503;
-
 /// A change is to be in force everywhere within this time; a confirmation that is not answers with who is missing.
 constexpr Duration kInForceTarget = std::chrono::seconds(3);
 constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -8,13 +8,12 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/http_status.h"
 #include "model/codec.h"
 
 namespace jaymast {
 namespace {
 
-constexpr int kStatusUnavailable = 503;
-
 /// Interval of reading the records of all failure domains. The own one is read with each renewal. Reads happen on the
 /// renewal timer, so the actual interval is up to one renewal interval longer. It must stay below the 5.5 s after which
 /// an entry of another domain tries to expire an unchanged record, or every live record is tried.
--- a/src/core/entry_requests.cc
+++ b/src/core/entry_requests.cc
@@ -4,20 +4,13 @@
 #include <chrono>
 #include <utility>
 
+#include "base/http_status.h"
 #include "core/entry_node.h"
 #include "core/views.h"
 
 namespace jaymast {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusUnauthorized = 401;
-constexpr int kStatusForbidden = 403;
-constexpr int kStatusUnprocessable = 422;
-constexpr int kStatusUnavailable = 503;
-constexpr int kStatusTimeout = 504;
-
 /// A plan or confirmation whose write stays unresolved is answered after this time.
 constexpr Duration kOperatorTimeout = std::chrono::seconds(10);
 
--- a/src/core/views.cc
+++ b/src/core/views.cc
@@ -37,13 +37,10 @@
 
 json::array Teams(const EntryNode& node) {
   json::array teams;
-  const double now_total = [&node] {
-    double total = 0;
-    for (const auto& [id, team] : node.config().config().teams) total += static_cast<double>(team.share);
-    return total;
-  }();
+  double total_share = 0;
+  for (const auto& [id, team] : node.config().config().teams) total_share += static_cast<double>(team.share);
   for (const auto& [id, team] : node.config().config().teams) {
-    const double share = now_total > 0 ? static_cast<double>(team.share) / now_total : 0;
+    const double share = total_share > 0 ? static_cast<double>(team.share) / total_share : 0;
     teams.emplace_back(json::object{{"team", id.value()},
                                     {"share", team.share},
                                     {"share_fraction", share},
--- a/src/model/runner_codec.cc
+++ b/src/model/runner_codec.cc
@@ -11,6 +11,7 @@
 
 #include "base/bounds.h"
 #include "base/field_reader.h"
+#include "base/http_status.h"
 #include "model/codec.h"
 #include "model/path.h"
 #include "model/read_items.h"
@@ -228,9 +229,7 @@
 }
 
 int HttpStatusOf(const UpstreamReply& reply) {
-  constexpr int kHttpOk = 200;
-  constexpr int kHttpConflict = 409;
-  return reply.status == CallStatus::kRefused ? kHttpConflict : kHttpOk;
+  return reply.status == CallStatus::kRefused ? kStatusConflict : kStatusOk;
 }
 
 std::string EncodeUpstreamReply(const UpstreamReply& reply) {
--- a/src/routing/preview_gateway.cc
+++ b/src/routing/preview_gateway.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/http_status.h"
 #include "configuration/config_store.h"
 #include "routing/router.h"
 #include "upstream/executor.h"
@@ -11,10 +12,6 @@
 namespace jaymast {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusBadGateway = 502;
-constexpr int kStatusUnavailable = 503;
-constexpr int kStatusTimeout = 504;
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(5);
 /// A second attempt is sent to another owner after this part of the time that is left, and at the latest after the
 /// bound.
--- a/src/runtime/entry_process.cc
+++ b/src/runtime/entry_process.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/http_status.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/io_pool.h"
@@ -22,9 +23,6 @@
 namespace jaymast {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusUnavailable = 503;
-
 /// Peer messages beyond it are dropped, like frames that the network loses.
 constexpr std::size_t kMaxControlQueue = 100'000;
 
--- a/src/runtime/http_runner.cc
+++ b/src/runtime/http_runner.cc
@@ -5,15 +5,13 @@
 #include <string>
 #include <utility>
 
+#include "base/http_status.h"
 #include "base/verdict.h"
 #include "model/runner_codec.h"
 
 namespace jaymast {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusConflict = 409;
-
 UpstreamReply WithoutAnswer(CallStatus status, std::string reason) {
   UpstreamReply reply;
   reply.status = status;
--- a/src/runtime/http_table.cc
+++ b/src/runtime/http_table.cc
@@ -4,12 +4,12 @@
 
 #include <utility>
 
+#include "base/http_status.h"
 #include "runtime/metrics.h"
 
 namespace jaymast {
 namespace {
 
-constexpr int kStatusOk = 200;
 constexpr int kFirstClientError = 400;
 constexpr int kFirstServerError = 500;
 
--- a/src/runtime/instance_poller.cc
+++ b/src/runtime/instance_poller.cc
@@ -8,6 +8,7 @@
 #include <boost/json/object.hpp>
 #include <utility>
 
+#include "base/http_status.h"
 #include "model/codec.h"
 #include "net/http_client.h"
 #include "net/io_pool.h"
@@ -43,7 +44,6 @@
  private:
   void OnResult(const HttpResult& result) {
     if (m_is_stopped) return;
-    constexpr int kStatusOk = 200;
     if (result.status == SendStatus::kAnswered && result.response.status == kStatusOk) Take(result.response.body);
     m_timer.expires_after(m_interval);
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
--- a/src/runtime/request_gate.cc
+++ b/src/runtime/request_gate.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "base/http_status.h"
 #include "net/problem.h"
 #include "runtime/control_loop.h"
 #include "runtime/core_driver.h"
@@ -14,8 +15,6 @@
 namespace jaymast {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusUnavailable = 503;
 constexpr std::string_view kEventsPath = "/v1/events";
 
 bool IsEventsRequest(const HttpRequest& http) {
--- a/src/standin/table_service.cc
+++ b/src/standin/table_service.cc
@@ -4,17 +4,14 @@
 #include <utility>
 #include <variant>
 
+#include "base/http_status.h"
+
 namespace jaymast {
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpBadRequest = 400;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpBusy = 429;
-
 TableService::Answer InputError(const Error& error) {
   const boost::json::object body = {{"id", ToString(error.id)}, {"path", error.path}, {"reason", error.reason}};
-  return {error.id == ErrorId::kRouteUnknown ? kHttpNotFound : kHttpBadRequest, boost::json::serialize(body)};
+  return {error.id == ErrorId::kRouteUnknown ? kStatusNotFound : kStatusBadRequest, boost::json::serialize(body)};
 }
 
 }  // namespace
@@ -29,18 +26,18 @@
 }
 
 TableService::Answer TableService::Execute(const Transaction& transaction, Time now) {
-  if (!m_writes.Admit(now)) return {kHttpBusy, EncodeCommitReply({CommitStatus::kNotSent, 0})};
-  return {kHttpOk, EncodeCommitReply(m_store.Commit(transaction))};
+  if (!m_writes.Admit(now)) return {kStatusBusy, EncodeCommitReply({CommitStatus::kNotSent, 0})};
+  return {kStatusOk, EncodeCommitReply(m_store.Commit(transaction))};
 }
 
 TableService::Answer TableService::Execute(const ReadRequest& request, Time now) {
-  if (!m_reads.Admit(now)) return {kHttpBusy, EncodeReadReply({})};
-  return {kHttpOk, EncodeReadReply(m_store.Read(request))};
+  if (!m_reads.Admit(now)) return {kStatusBusy, EncodeReadReply({})};
+  return {kStatusOk, EncodeReadReply(m_store.Read(request))};
 }
 
 TableService::Answer TableService::Execute(const LookupRequest& request, Time now) {
-  if (!m_reads.Admit(now)) return {kHttpBusy, EncodeLookupReply({})};
-  return {kHttpOk, EncodeLookupReply(m_store.Lookup(request.id))};
+  if (!m_reads.Admit(now)) return {kStatusBusy, EncodeLookupReply({})};
+  return {kStatusOk, EncodeLookupReply(m_store.Lookup(request.id))};
 }
 
 }  // namespace jaymast
--- a/src/standin_server/platform_server.cc
+++ b/src/standin_server/platform_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/http_status.h"
 #include "model/codec.h"
 #include "model/path.h"
 #include "net/io_pool.h"
@@ -21,17 +22,12 @@
 namespace jaymast {
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpNoContent = 204;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpTooLarge = 413;
-
 HttpResponse JsonResponse(int status, std::string body) {
   return HttpResponse{status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
 
 HttpResponse NotFound(const std::string& target) {
-  return ProblemResponse(kHttpNotFound, Error{ErrorId::kRouteUnknown, target, "no such route or object"},
+  return ProblemResponse(kStatusNotFound, Error{ErrorId::kRouteUnknown, target, "no such route or object"},
                          Verdict::kNotRun);
 }
 
@@ -67,7 +63,7 @@
     const Result<std::vector<std::string>> path = SplitPath(request.target);
     if (!path) return NotFound(request.target);
     if (request.method == "GET" && *path == std::vector<std::string>{"v1", "instances"}) {
-      return JsonResponse(kHttpOk, boost::json::serialize(ToJson(m_list.Visible(now))));
+      return JsonResponse(kStatusOk, boost::json::serialize(ToJson(m_list.Visible(now))));
     }
     if (IsObjectRoute(*path)) return HandleObject(request, path->at(2));
     const HttpCall call{std::move(request.method), std::move(request.target), std::move(request.body)};
@@ -86,15 +82,15 @@
   HttpResponse ExecuteObject(HttpRequest& request, const std::string& name) {
     if (request.method == "PUT") {
       const bool stored = m_objects.Put(name, std::move(request.body));
-      return HttpResponse{stored ? kHttpNoContent : kHttpTooLarge, {}, ""};
+      return HttpResponse{stored ? kStatusNoContent : kStatusTooLarge, {}, ""};
     }
     if (request.method == "DELETE") {
       m_objects.Delete(name);
-      return HttpResponse{kHttpNoContent, {}, ""};
+      return HttpResponse{kStatusNoContent, {}, ""};
     }
     std::optional<std::string> bytes = request.method == "GET" ? m_objects.Get(name) : std::nullopt;
     if (!bytes) return NotFound(request.target);
-    return HttpResponse{kHttpOk, {{"Content-Type", "application/octet-stream"}}, std::move(*bytes)};
+    return HttpResponse{kStatusOk, {{"Content-Type", "application/octet-stream"}}, std::move(*bytes)};
   }
 
   void RespondAt(Time time, HttpResponse response, HttpResponder responder) {
--- a/src/standin_server/runner_server.cc
+++ b/src/standin_server/runner_server.cc
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <variant>
 
+#include "base/http_status.h"
 #include "model/runner_codec.h"
 #include "net/io_pool.h"
 #include "net/problem.h"
@@ -14,9 +15,6 @@
 namespace jaymast {
 namespace {
 
-constexpr int kHttpBadRequest = 400;
-constexpr int kHttpNotFound = 404;
-
 /// Requests kept during a hang. Later ones are never answered, as by a full accept queue.
 constexpr std::size_t kMaxHeldRequests = 1000;
 
@@ -54,7 +52,7 @@
     const HttpCall call{std::move(request.method), std::move(request.target), std::move(request.body)};
     const Result<UpstreamRequest> decoded = DecodeUpstreamRequest(call);
     if (!decoded) {
-      const int status = decoded.error().id == ErrorId::kRouteUnknown ? kHttpNotFound : kHttpBadRequest;
+      const int status = decoded.error().id == ErrorId::kRouteUnknown ? kStatusNotFound : kStatusBadRequest;
       responder.Respond(ProblemResponse(status, decoded.error(), Verdict::kNotRun));
       return;
     }
--- a/src/standin_server/standin_site.cc
+++ b/src/standin_server/standin_site.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "base/field_reader.h"
+#include "base/http_status.h"
 #include "model/codec.h"
 #include "net/problem.h"
 #include "standin_server/standin_settings.h"
@@ -18,8 +19,6 @@
 
 namespace json = boost::json;
 
-constexpr int kHttpBadRequest = 400;
-constexpr int kHttpNotFound = 404;
 constexpr std::int64_t kMaxDelayMs = 600'000;
 constexpr std::int64_t kMaxSlowFactor = 1000;
 constexpr std::size_t kMaxNameBytes = 128;
@@ -107,10 +106,10 @@
 void StandinSite::OnControl(const HttpRequest& request, const HttpResponder& responder) {
   if (request.method != "POST" || request.target != "/v1/faults") {
     const Error error{ErrorId::kRouteUnknown, request.target, "expected POST /v1/faults"};
-    return responder.Respond(ProblemResponse(kHttpNotFound, error, Verdict::kNotRun));
+    return responder.Respond(ProblemResponse(kStatusNotFound, error, Verdict::kNotRun));
   }
   const Result<bool> applied = ApplyFaults(request.body);
-  if (!applied) return responder.Respond(ProblemResponse(kHttpBadRequest, applied.error(), Verdict::kNotRun));
+  if (!applied) return responder.Respond(ProblemResponse(kStatusBadRequest, applied.error(), Verdict::kNotRun));
   responder.Respond(HttpResponse{200, {{"Content-Type", "application/json"}}, "{}"});
 }
 
--- a/src/tasks/task_manager.cc
+++ b/src/tasks/task_manager.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/http_status.h"
 #include "configuration/config_store.h"
 #include "membership/membership.h"
 #include "model/codec.h"
@@ -279,7 +280,7 @@
                                    ErrorResponse(submission.refused.begin()->second, Verdict::kNotRun));
   }
   Response response;
-  response.status = kTaskEnded;
+  response.status = kStatusOk;
   response.verdict = Verdict::kRan;
   std::string items;
   for (const TaskId& id : submission.tasks) {
@@ -297,7 +298,7 @@
       continue;
     }
     items += DescribeTask(task->second);
-    if (!task->second.HasOutcome()) response.status = kTaskAccepted;
+    if (!task->second.HasOutcome()) response.status = kStatusAccepted;
     response.verdict = std::min(response.verdict, VerdictOf(task->second));
   }
   response.body = fmt::format("{{\"tasks\":[{}]}}", items);
--- a/src/tasks/task_queries.cc
+++ b/src/tasks/task_queries.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/http_status.h"
 #include "membership/membership.h"
 #include "tasks/task_manager.h"
 #include "tasks/task_response.h"
@@ -47,11 +48,11 @@
   request.keys.push_back(AdoptKey(home));
   m_table.Read(request, [this, call](const ReadReply& reply) {
     if (!reply.available) {
-      return AnswerForwarded(call, kTaskUnavailable,
+      return AnswerForwarded(call, kStatusUnavailable,
                              Error{ErrorId::kStoreUnavailable, "", "the home entry of the task cannot be found"});
     }
     if (reply.rows.empty()) {
-      return AnswerForwarded(call, kTaskUnknown, Error{ErrorId::kTaskUnknown, "", "no such task"});
+      return AnswerForwarded(call, kStatusNotFound, Error{ErrorId::kTaskUnknown, "", "no such task"});
     }
     const EntryId adopter(reply.rows.front().value);
     if (!m_membership.HasRecord(adopter)) return RepeatForwarded(call);
@@ -80,7 +81,7 @@
     const auto found = m_forwarded.find(call);
     if (found == m_forwarded.end()) return;
     if (m_context.Now() < found->second.wait_until + kForwardMargin) return FindHome(found->second.task, call);
-    AnswerForwarded(call, kTaskUnavailable, Error{ErrorId::kNotServing, "", "the home entry did not answer"});
+    AnswerForwarded(call, kStatusUnavailable, Error{ErrorId::kNotServing, "", "the home entry did not answer"});
   });
 }
 
@@ -91,7 +92,7 @@
   m_forwarded.erase(found);
   Response response;
   response.status = status;
-  response.verdict = status == kTaskUnknown ? Verdict::kNotRun : Verdict::kMayHaveRun;
+  response.verdict = status == kStatusNotFound ? Verdict::kNotRun : Verdict::kMayHaveRun;
   response.error = error;
   m_context.effects.Reply(request, response);
 }
@@ -102,7 +103,7 @@
   if (!is_visible) {
     TaskQueryReply reply;
     reply.call = query.call;
-    reply.status = kTaskUnknown;
+    reply.status = kStatusNotFound;
     reply.error = ErrorId::kTaskUnknown;
     reply.body = "no such task";
     return m_hooks.send(from, reply);
@@ -161,7 +162,7 @@
   const auto task = m_tasks.find(waiter.task);
   if (task == m_tasks.end()) return;
   const bool has_ended = task->second.HasOutcome();
-  const int status = has_ended ? kTaskEnded : kTaskAccepted;
+  const int status = has_ended ? kStatusOk : kStatusAccepted;
   const Verdict verdict = VerdictOf(task->second);
   if (!waiter.peer.empty()) {
     TaskQueryReply reply;
--- a/src/tasks/task_response.cc
+++ b/src/tasks/task_response.cc
@@ -2,24 +2,22 @@
 
 #include <boost/json.hpp>
 
+#include "base/http_status.h"
 #include "tasks/home_task.h"
 
 namespace jaymast {
 namespace {
 
-constexpr int kStatusConflict = 409;
-constexpr int kStatusTimeout = 504;
-
 int StatusOf(const Error& error) {
   switch (error.id) {
     case ErrorId::kTaskUnknown:
-      return kTaskUnknown;
+      return kStatusNotFound;
     case ErrorId::kIdempotencyMismatch:
       return kStatusConflict;
     case ErrorId::kOutcomeUnknown:
       return kStatusTimeout;
     default:
-      return kTaskUnavailable;
+      return kStatusUnavailable;
   }
 }
 
--- a/src/tasks/task_response.h
+++ b/src/tasks/task_response.h
@@ -10,11 +10,6 @@
 
 struct HomeTask;
 
-inline constexpr int kTaskEnded = 200;     ///< HTTP status for a task with an outcome
-inline constexpr int kTaskAccepted = 202;  ///< HTTP status for a task that is accepted and has no outcome yet
-inline constexpr int kTaskUnknown = 404;
-inline constexpr int kTaskUnavailable = 503;
-
 /// The answer that refuses a request about tasks.
 Response ErrorResponse(const Error& error, Verdict verdict);
 
