Do not ask a runner out of turn for tasks long past their expected end

Cause: since reports are read at the expected end of a task, a runner with a task without an estimate, or an overdue one, was asked every 100 ms, and each answer lists all its tasks.

--- a/src/upstream/executor_reports.cc
+++ b/src/upstream/executor_reports.cc
@@ -16,6 +16,10 @@
 constexpr Duration kReportSweep = std::chrono::milliseconds(50);
 constexpr Duration kMinReportInterval = std::chrono::milliseconds(100);
 
+/// How long after the expected end of a task its runner is asked out of turn. Each report lists all tasks of the
+/// runner.
+constexpr Duration kOverdue = std::chrono::milliseconds(300);
+
 constexpr Duration kOverrunSweep = std::chrono::seconds(1);
 constexpr Duration kResendInterval = std::chrono::seconds(1);
 
@@ -173,8 +177,11 @@
   for (const AttemptId& id : upstream.tasks) {
     const OwnedTask& task = m_tasks.at(id);
     if (task.is_preview || task.phase != OwnedPhase::kRunning) continue;
-    const Time end = task.phase_since + std::chrono::milliseconds(m_estimator.For(task.spec).run_ms);
-    next = std::min(next, std::max(end, upstream.answered_at + kMinReportInterval));
+    const std::int64_t run_ms = m_estimator.For(task.spec).run_ms;
+    const Time end = task.phase_since + std::chrono::milliseconds(run_ms);
+    // A task without an estimate, or long past its expected end, waits for the regular renewal.
+    const bool is_predictable = run_ms > 0 && upstream.answered_at < end + kOverdue;
+    if (is_predictable) next = std::min(next, std::max(end, upstream.answered_at + kMinReportInterval));
   }
   return next;
 }
