Attribute the result of a preview to its own job and kind

Cause: the answer to a preview was attributed with a specification that had been moved into the request before, so all previews counted as one job without a name, and a runner that failed every preview was never quarantined. Change: the owner's own record of the task is used, before it is erased.

--- a/src/upstream/executor.cc
+++ b/src/upstream/executor.cc
@@ -255,6 +255,10 @@
   if (found != m_tasks.end()) {
     EmitStart(EventKind::kStartAnswered, id, found->second, std::string(ToString(answer.verdict)));
     const UpstreamId upstream = found->second.upstream;
+    if (reply.status == CallStatus::kOk) {
+      const bool succeeded = reply.result == RunnerTaskState::kSucceeded;
+      m_attribution.OnResult(upstream, found->second.spec, succeeded, m_context.Now());
+    }
     if (reply.status == CallStatus::kUnknown) {
       SetPhase(found->second, OwnedPhase::kUnresolved);
     } else {
@@ -262,9 +266,6 @@
       Erase(id);
     }
     RecordHealth(upstream, reply.status == CallStatus::kOk);
-    if (reply.status == CallStatus::kOk) {
-      m_attribution.OnResult(upstream, run.request.spec, reply.result == RunnerTaskState::kSucceeded, m_context.Now());
-    }
     if (reply.status == CallStatus::kRefused) m_hooks.on_refused(upstream, reply.current);
   }
   if (reply.status == CallStatus::kOk) {
