Choose by rendezvous in one place and copy the body of a preview once

Cause: five places looked for the best rendezvous score by hand; an owner copied the body of each preview into two records that do not use it; the router repeated its last resort; two members of Ownership had no caller. Change: PreferredEntry, Router::ChooseAny, and a run that alone keeps the body; what had no caller is gone.

--- a/src/core/entry_node.cc
+++ b/src/core/entry_node.cc
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <utility>
 
-#include "base/hash.h"
 #include "base/http_status.h"
 #include "model/codec.h"
 
@@ -75,7 +74,7 @@
 Membership::Hooks EntryNode::MembershipHooks(std::function<void()> on_lease_lost) {
   Membership::Hooks hooks;
   hooks.on_lease_lost = std::move(on_lease_lost);
-  hooks.on_peer_expired = [this](const EntryId& id) { OnPeerGone(id); };
+  hooks.on_peer_expired = [this] { m_next_owner_read = Time(); };
   hooks.on_state = [this](EntryState state) { OnState(state); };
   return hooks;
 }
@@ -203,16 +202,6 @@
   if (m_started) m_membership.Renew();
 }
 
-void EntryNode::OnPeerGone(const EntryId& /*id*/) { m_next_owner_read = Time(); }
-
-bool EntryNode::IsReclaimer(const EntryId& gone) const {
-  const double own_score = RendezvousScore(gone.value(), m_context.self.value(), 1.0);
-  const std::vector<EntryId> candidates = m_membership.OwnerCandidates();
-  return std::none_of(candidates.begin(), candidates.end(), [&gone, own_score](const EntryId& candidate) {
-    return RendezvousScore(gone.value(), candidate.value(), 1.0) > own_score;
-  });
-}
-
 void EntryNode::ReclaimAllotments(const std::set<EntryId>& absent_before_read) {
   // A holder had a lease record when it wrote the row. If a later read finds none, the entry is gone for good.
   const Time now = m_context.Now();
@@ -223,7 +212,8 @@
   }
   if (!m_ownership.IsAllCovered()) return;
   for (const auto& [id, due] : m_absent) {
-    if (now >= due && IsReclaimer(id)) m_allotments.ReclaimFrom(id);
+    const bool is_reclaimer = PreferredEntry(id.value(), m_membership.OwnerCandidates()) == m_context.self;
+    if (now >= due && is_reclaimer) m_allotments.ReclaimFrom(id);
   }
 }
 
--- a/src/core/entry_node.h
+++ b/src/core/entry_node.h
@@ -72,11 +72,9 @@
   void Sync();
   void ReadTable();
   void OnSynced(bool is_full, bool has_owners, const ReadReply& reply);
-  bool IsReclaimer(const EntryId& gone) const;
   void OnConfigMissing();
   void OnConfigInstalled();
   void OnState(EntryState state);
-  void OnPeerGone(const EntryId& id);
   void Advance();
 
   /// Whether a preview could be placed: this entry owns a usable upstream, or a serving peer is heard. An entry that
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -22,6 +22,18 @@
 
 }  // namespace
 
+EntryId PreferredEntry(const std::string& key, const std::vector<EntryId>& candidates) {
+  EntryId best;
+  double best_score = 0;
+  for (const EntryId& candidate : candidates) {
+    const double score = RendezvousScore(key, candidate.value(), 1.0);
+    if (score <= best_score) continue;
+    best = candidate;
+    best_score = score;
+  }
+  return best;
+}
+
 Membership::Membership(Context& context, TableClient& table, Hooks hooks)
     : m_context(context),
       m_table(table),
@@ -184,7 +196,7 @@
                    m_context.effects.Emit(event);
                    m_peers.erase(id);
                    m_context.effects.DisconnectPeer(id);
-                   m_hooks.on_peer_expired(id);
+                   m_hooks.on_peer_expired();
                  });
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "base/id.h"
@@ -27,12 +28,15 @@
   Summary summary;
 };
 
+/// The entry that rendezvous hashing prefers for a key, or an empty id when there is no candidate.
+EntryId PreferredEntry(const std::string& key, const std::vector<EntryId>& candidates);
+
 /// The lease of this entry and the records of the others.
 class Membership {
  public:
   struct Hooks {
-    std::function<void()> on_lease_lost;                  ///< the record is gone: start over with a new id
-    std::function<void(const EntryId&)> on_peer_expired;  ///< this entry expired a peer and adopts its tasks
+    std::function<void()> on_lease_lost;    ///< the record is gone: start over with a new id
+    std::function<void()> on_peer_expired;  ///< this entry expired a peer and adopts its tasks
     std::function<void(EntryState)> on_state;
   };
 
--- a/src/ownership/ownership.cc
+++ b/src/ownership/ownership.cc
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <utility>
 
-#include "base/hash.h"
 #include "core/table_client.h"
 #include "membership/membership.h"
 
@@ -61,17 +60,10 @@
 }
 
 EntryId Ownership::PreferredOwner(const UpstreamId& id) const {
+  std::vector<EntryId> candidates = m_membership.OwnerCandidates();
   const bool is_isolated = m_membership.state() == EntryState::kIsolated;
-  EntryId best;
-  double best_score = 0;
-  for (const EntryId& candidate : m_membership.OwnerCandidates()) {
-    if (is_isolated && !m_membership.IsHeard(candidate)) continue;
-    const double score = RendezvousScore(id.value(), candidate.value(), 1.0);
-    if (score <= best_score) continue;
-    best = candidate;
-    best_score = score;
-  }
-  return best;
+  if (is_isolated) std::erase_if(candidates, [this](const EntryId& entry) { return !m_membership.IsHeard(entry); });
+  return PreferredEntry(id.value(), candidates);
 }
 
 bool Ownership::IsOwnerGone(const Upstream& upstream) const {
@@ -270,18 +262,10 @@
 }
 
 void Ownership::ReleaseAll() {
-  const std::vector<EntryId> candidates = m_membership.OwnerCandidates();
+  std::vector<EntryId> candidates = m_membership.OwnerCandidates();
+  std::erase(candidates, m_context.self);
   for (auto& [id, upstream] : m_upstreams) {
-    if (upstream.phase != Phase::kOwned) continue;
-    EntryId best;
-    double best_score = 0;
-    for (const EntryId& candidate : candidates) {
-      const double score = RendezvousScore(id.value(), candidate.value(), 1.0);
-      if (candidate == m_context.self || score <= best_score) continue;
-      best = candidate;
-      best_score = score;
-    }
-    HandOver(id, upstream, best);
+    if (upstream.phase == Phase::kOwned) HandOver(id, upstream, PreferredEntry(id.value(), candidates));
   }
 }
 
@@ -317,16 +301,6 @@
   Claim(id, upstream);
 }
 
-bool Ownership::Owns(const UpstreamId& id) const {
-  const auto found = m_upstreams.find(id);
-  return found != m_upstreams.end() && found->second.phase == Phase::kOwned;
-}
-
-std::int64_t Ownership::Epoch(const UpstreamId& id) const {
-  const auto found = m_upstreams.find(id);
-  return found == m_upstreams.end() ? 0 : found->second.epoch;
-}
-
 std::size_t Ownership::OwnedCount() const {
   return static_cast<std::size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(),
                                                 [](const auto& entry) { return entry.second.phase == Phase::kOwned; }));
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -76,8 +76,6 @@
   /// Hands all upstreams over for a planned stop.
   void ReleaseAll();
 
-  bool Owns(const UpstreamId& id) const;
-  std::int64_t Epoch(const UpstreamId& id) const;
   std::size_t OwnedCount() const;
 
   /// Upstreams handed over to other entries so far.
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -42,7 +42,7 @@
 std::int64_t Router::FreeSlots(const EntryId& id) const {
   const auto debit = m_debits.find(id);
   const std::int64_t debited = debit == m_debits.end() ? 0 : debit->second.slots;
-  if (id == m_context.self) return m_executor.MakeSummary().free.slots - debited;
+  if (id == m_context.self) return m_executor.placer().Free().slots - debited;
   const auto peer = m_membership.peers().find(id);
   return peer == m_membership.peers().end() ? 0 : peer->second.summary.free.slots - debited;
 }
@@ -62,17 +62,19 @@
     std::optional<EntryId> fitting = BetterOfTwo(Candidates(spec, tried, true, own_domain_only));
     if (fitting) return fitting;
   }
-  std::optional<EntryId> any = BetterOfTwo(Candidates(spec, tried, false, false));
-  if (any) return any;
+  return ChooseAny(spec, tried);
+}
+
+std::optional<EntryId> Router::ChooseAny(const TaskSpec& spec, const std::set<EntryId>& tried) {
+  std::optional<EntryId> untried = BetterOfTwo(Candidates(spec, tried, false, false));
+  if (untried) return untried;
   return BetterOfTwo(Candidates(spec, {}, false, false));
 }
 
 std::optional<EntryId> Router::ChooseForDurable(const TaskSpec& spec, const std::set<EntryId>& tried) {
   std::optional<EntryId> fitting = BetterOfTwo(Candidates(spec, tried, true, false));
   if (fitting) return fitting;
-  std::optional<EntryId> any = BetterOfTwo(Candidates(spec, tried, false, false));
-  if (any) return any;
-  return BetterOfTwo(Candidates(spec, {}, false, false));
+  return ChooseAny(spec, tried);
 }
 
 }  // namespace jaymast
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -43,6 +43,8 @@
                                   bool own_domain_only) const;
   bool IsUsable(const TaskSpec& spec, const EntryId& id, const Summary& summary, bool must_fit) const;
   std::int64_t FreeSlots(const EntryId& id) const;
+  /// A usable entry whether or not the task fits there now; a tried one only when there is no other.
+  std::optional<EntryId> ChooseAny(const TaskSpec& spec, const std::set<EntryId>& tried);
   std::optional<EntryId> BetterOfTwo(const std::vector<EntryId>& candidates);
 
   Context& m_context;
--- a/src/tasks/task_adoption.cc
+++ b/src/tasks/task_adoption.cc
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/hash.h"
 #include "membership/membership.h"
 #include "tasks/task_manager.h"
 
@@ -28,14 +27,11 @@
 }
 
 void TaskManager::AdoptOrphan(const EntryId& home, std::int64_t row_version) {
-  EntryId best = m_context.self;
+  std::vector<EntryId> candidates = {m_context.self};
   for (const auto& [id, peer] : m_membership.peers()) {
-    if (peer.record.state != EntryState::kServing || !m_membership.IsHeard(id)) continue;
-    const bool is_better =
-        RendezvousScore(home.value(), id.value(), 1.0) > RendezvousScore(home.value(), best.value(), 1.0);
-    if (is_better) best = id;
+    if (peer.record.state == EntryState::kServing && m_membership.IsHeard(id)) candidates.push_back(id);
   }
-  if (best != m_context.self) return;
+  if (PreferredEntry(home.value(), candidates) != m_context.self) return;
   m_table.Commit({{AdoptKey(home), row_version}, m_membership.IsMember()}, {{AdoptKey(home), m_context.self.value()}},
                  [this, home](CommitOutcome outcome, std::int64_t /*version*/) {
                    const bool is_adopted = outcome == CommitOutcome::kCommitted && m_adopted.insert(home).second;
--- a/src/upstream/executor.cc
+++ b/src/upstream/executor.cc
@@ -112,9 +112,12 @@
   const Time now = m_context.Now();
   const AttemptId id{request.spec.id, request.attempt};
   const Duration remaining = std::chrono::milliseconds(request.remaining_ms);
-  m_waiting_runs.insert_or_assign(id, WaitingRun{request, from, now + remaining, std::move(done)});
-  // Half of the time is left for a try at another owner.
-  const WaitingTask waiting{id, request.spec, from, now, now + remaining / 2};
+  WaitingRun run{request, from, now + remaining, std::move(done)};
+  // Only the run needs the body. Half of the time is left for a try at another owner.
+  std::string body = std::exchange(run.request.spec.body, {});
+  const WaitingTask waiting{id, run.request.spec, from, now, now + remaining / 2};
+  run.request.spec.body = std::move(body);
+  m_waiting_runs.insert_or_assign(id, std::move(run));
   if (m_queue.size() == 0 && Place(waiting) == OfferOutcome::kTaken) return;
   const bool may_wait = m_membership.MayStart() && HasUsableUpstream();
   if (!may_wait || !m_queue.Push(waiting)) return RefuseWaiting(waiting);
@@ -236,7 +239,6 @@
   const Duration remaining = run.deadline - m_context.Now();
   request.start_by_ms = RunnerNow(upstream) + ToMillis(std::min(remaining, m_context.settings.upstream_call_timeout));
   task.start_by_ms = request.start_by_ms;
-  task.spec.body.clear();
   ++m_open_runs;
   EmitStart(EventKind::kStartSent, id, task, "");
   const Time deadline = run.deadline;
