--- /dev/null
+++ b/src/cell/admission.cc
@@ -0,0 +1,40 @@
+#include "cell/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jaymast {
+namespace {
+
+/// An organisation may send this many seconds of its weight at once.
+constexpr double kBurstSeconds = 2.0;
+/// Work of an organisation beyond its weight is admitted only while the queue is below this time.
+constexpr double kBorrowBoundS = 0.5;
+/// Part of the slack that waiting may use up; the rest covers rough estimates and uneven room.
+constexpr double kSlackShare = 0.8;
+constexpr std::int64_t kMaxRetryAfterS = 10;
+
+}  // namespace
+
+AdmissionDecision Admission::Decide(const TeamId& team, const AdmissionLoad& load, Time now) {
+  Bucket& bucket = m_buckets[team];
+  const double burst = std::max(1.0, load.weight * kBurstSeconds);
+  if (bucket.is_new) {
+    bucket = Bucket{burst, now, false};
+  } else {
+    const double elapsed_s = std::chrono::duration<double>(now - bucket.refilled_at).count();
+    bucket.tokens = std::min(burst, bucket.tokens + elapsed_s * load.weight);
+    bucket.refilled_at = now;
+  }
+  const double wait_s = load.total_cores > 0 ? load.urgent_core_s / load.total_cores : kMaxRetryAfterS;
+  const bool is_owed = bucket.tokens >= 1.0;
+  const double bound_s = is_owed ? load.slack_s * kSlackShare : kBorrowBoundS;
+  if (wait_s > bound_s) {
+    const auto retry_s = static_cast<std::int64_t>(std::ceil(wait_s - bound_s));
+    return {false, std::clamp<std::int64_t>(retry_s, 1, kMaxRetryAfterS)};
+  }
+  if (is_owed) bucket.tokens -= 1.0;
+  return {true, 0};
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/cell_feeds.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <memory>
+#include <set>
+
+#include "base/id.h"
+#include "base/time.h"
+#include "jobs/cell_config.h"
+#include "jobs/upstream_listing.h"
+
+namespace jaymast {
+
+/// Takes what operators and upstreams write to the platform's store.
+class FeedListener {
+ public:
+  virtual ~FeedListener() = default;
+  virtual void OnConfig(std::shared_ptr<const CellConfig> config) = 0;
+  /// What was told is complete as of this time.
+  virtual void OnConfigCurrent(Time as_of) = 0;
+  virtual void OnDomainsOut(std::set<DomainId> domains) = 0;
+  virtual void OnUpstreamListed(UpstreamListing listing) = 0;
+  virtual void OnUpstreamUnlisted(const UpstreamId& id) = 0;
+  virtual void OnListComplete(const std::set<UpstreamId>& listed) = 0;
+};
+
+/// Follows the platform's store and tells a listener of changes.
+class CellFeeds {
+ public:
+  virtual ~CellFeeds() = default;
+  virtual void OnTick(Time now) = 0;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/journal.cc
@@ -0,0 +1,110 @@
+#include "cell/journal.h"
+
+#include <utility>
+
+namespace jaymast {
+namespace {
+
+/// Pause between two transactions with changes, which groups the changes of a burst.
+constexpr Duration kBatchPause{10'000};
+/// Transactions without changes show the followers that the leader lives; well below the takeover silence.
+constexpr Duration kIdlePause{250'000};
+/// Pause before a refused or unanswered transaction is sent again.
+constexpr Duration kRetryPause{40'000};
+/// An answer that takes longer is counted as an outage of the store.
+constexpr Duration kSlowAnswer{400'000};
+
+}  // namespace
+
+Journal::Journal(StateStore& store, LeaderRecord record, std::int64_t guard_version, Collect collect,
+                 std::function<void()> deposed)
+    : m_store(store),
+      m_record(std::move(record)),
+      m_guard_version(guard_version),
+      m_collect(std::move(collect)),
+      m_deposed(std::move(deposed)) {}
+
+void Journal::HandOver(std::string successor) {
+  m_wants_handover = true;
+  m_successor = std::move(successor);
+}
+
+void Journal::OnTick(Time now) {
+  m_now = now;
+  if (m_is_deposed || m_is_handed_over) return;
+  if (m_in_flight) {
+    if (now - m_sent_at > kSlowAnswer && !m_failing_since) m_failing_since = m_sent_at;
+    return;
+  }
+  if (now < m_next_send) return;
+  if (m_transaction) return Send(now);
+  const bool wants_last = m_wants_handover && !m_is_dirty;
+  if (!m_is_dirty && !wants_last && now - m_sent_at < kIdlePause) return;
+  m_is_dirty = false;
+  StateTransaction transaction;
+  transaction.guard_table = kLeaderTable;
+  transaction.guard_key = kLeaderKey;
+  transaction.guard_version = m_guard_version;
+  JournalBatch batch;
+  if (!wants_last) batch = m_collect();
+  m_is_handover_sent = wants_last;
+  LeaderRecord record = m_record;
+  ++record.sequence;
+  if (wants_last) {
+    record.address.clear();
+    record.successor = m_successor;
+  }
+  transaction.writes = std::move(batch.writes);
+  transaction.writes.push_back(StateWrite{kLeaderTable, kLeaderKey, EncodeLeaderRecord(record)});
+  m_record = std::move(record);
+  m_transaction = std::move(transaction);
+  m_committed = std::move(batch.committed);
+  m_first_sent_at = now;
+  Send(now);
+}
+
+void Journal::Send(Time now) {
+  m_in_flight = true;
+  m_sent_at = now;
+  m_store.Commit(*m_transaction,
+                 [this, attempt = ++m_attempt](const StateCommitReply& reply) { OnReply(attempt, reply); });
+}
+
+void Journal::OnReply(std::uint64_t attempt, const StateCommitReply& reply) {
+  if (attempt != m_attempt || m_is_deposed) return;
+  m_in_flight = false;
+  if (reply.now_ms > 0) {
+    m_store_now_ms = reply.now_ms;
+    m_store_now_at = m_now;
+  }
+  switch (reply.status) {
+    case StateStatus::kDone:
+      return OnCommitted(reply.version);
+    case StateStatus::kConflict: {
+      const std::optional<LeaderRecord> current = DecodeLeaderRecord(reply.guard.value);
+      // An earlier copy of the same transaction has taken effect.
+      if (current && *current == m_record) return OnCommitted(reply.guard.version);
+      m_is_deposed = true;
+      return m_deposed();
+    }
+    case StateStatus::kRefused:
+    case StateStatus::kUnknown:
+      if (!m_failing_since) m_failing_since = m_sent_at;
+      m_next_send = m_now + kRetryPause;
+      return;
+  }
+}
+
+void Journal::OnCommitted(std::int64_t version) {
+  m_guard_version = version;
+  // The transaction may have taken effect as early as its first copy was sent.
+  m_confirmed_at = m_first_sent_at;
+  m_failing_since.reset();
+  m_next_send = m_first_sent_at + kBatchPause;
+  m_transaction.reset();
+  if (m_is_handover_sent) m_is_handed_over = true;
+  const auto committed = std::exchange(m_committed, nullptr);
+  if (committed) committed();
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/journal.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "base/time.h"
+#include "cell/leader_record.h"
+#include "cell/state_store.h"
+
+namespace jaymast {
+
+/// What a writer wants committed in the next transaction.
+struct JournalBatch {
+  std::vector<StateWrite> writes;
+  std::function<void()> committed;  ///< called once the writes are certainly in the store
+};
+
+/// Log of the leader: one transaction at a time, each on condition that the previous one was the last.
+///
+/// A transaction without an answer is sent again unchanged. Both copies carry the same condition and the same writes,
+/// so at most one of them takes effect, and it does not matter which.
+class Journal {
+ public:
+  /// Makes the next batch; an empty batch is fine.
+  using Collect = std::function<JournalBatch()>;
+
+  /// @param record the leader row as it was written by the takeover, with its version
+  Journal(StateStore& store, LeaderRecord record, std::int64_t guard_version, Collect collect,
+          std::function<void()> deposed);
+
+  /// Asks for a transaction soon.
+  void MarkDirty() { m_is_dirty = true; }
+
+  /// Sends the next transaction if one is due.
+  void OnTick(Time now);
+
+  /// Writes the leader row without an address after everything else, so that the successor need not wait.
+  void HandOver(std::string successor);
+
+  bool is_handed_over() const { return m_is_handed_over; }
+  bool is_idle() const { return !m_in_flight && !m_is_dirty; }
+  std::uint64_t epoch() const { return m_record.epoch; }
+  std::uint64_t sequence() const { return m_record.sequence; }
+
+  /// When the last transaction that took effect was sent: no other leader existed at that time.
+  Time confirmed_at() const { return m_confirmed_at; }
+  /// Whether the store has failed to answer or refused for longer than `bound`.
+  bool IsStalled(Time now, Duration bound) const { return m_failing_since && now - *m_failing_since > bound; }
+  std::int64_t store_now_ms(Time now) const { return m_store_now_ms + ToMillis(now - m_store_now_at); }
+
+ private:
+  void Send(Time now);
+  void OnReply(std::uint64_t attempt, const StateCommitReply& reply);
+  void OnCommitted(std::int64_t version);
+
+  StateStore& m_store;
+  LeaderRecord m_record;
+  std::int64_t m_guard_version;
+  const Collect m_collect;
+  const std::function<void()> m_deposed;
+  std::optional<StateTransaction> m_transaction;  ///< sent and not known to have taken effect
+  std::function<void()> m_committed;
+  bool m_in_flight = false;
+  bool m_is_dirty = true;
+  bool m_is_deposed = false;
+  bool m_wants_handover = false;
+  bool m_is_handover_sent = false;
+  bool m_is_handed_over = false;
+  std::string m_successor;
+  std::uint64_t m_attempt = 0;
+  Time m_now{};
+  Time m_sent_at{};
+  Time m_first_sent_at{};
+  Time m_next_send{};
+  Time m_confirmed_at{};
+  std::optional<Time> m_failing_since;
+  std::int64_t m_store_now_ms = 0;
+  Time m_store_now_at{};
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/leadership.cc
@@ -0,0 +1,111 @@
+#include "cell/leadership.h"
+
+#include <utility>
+
+namespace jaymast {
+namespace {
+
+/// Pause between two reads of the leader row while the leader shows no progress.
+constexpr Duration kReadPause{150'000};
+/// Instances of rank 0 to 7 start their attempts this much apart, so that most need not write.
+constexpr Duration kRankPause{15'000};
+constexpr std::uint64_t kRanks = 8;
+/// Others leave the named successor this much time after a handover.
+constexpr Duration kSuccessorLead{250'000};
+
+}  // namespace
+
+Leadership::Leadership(StateStore& store, std::string address, std::uint64_t rank, Won won)
+    : m_store(store), m_address(std::move(address)), m_rank(rank % kRanks), m_won(std::move(won)) {}
+
+void Leadership::OnTick(Time now) {
+  m_now = now;
+  if (m_is_leader || m_is_reading || m_is_campaigning) return;
+  if (now < m_next_read) return;
+  if (now - m_progress_at < kProgressSilence && !m_leader.address.empty()) return;
+  Read(now);
+}
+
+void Leadership::OnLeaderProgress(const std::string& address, std::uint64_t epoch, std::uint64_t sequence, Time now) {
+  if (m_is_leader || epoch < m_leader.epoch) return;
+  if (epoch == m_leader.epoch && sequence <= m_leader.sequence && address == m_leader.address) return;
+  m_leader.epoch = epoch;
+  m_leader.sequence = sequence;
+  m_leader.address = address;
+  m_progress_at = now;
+  m_version.reset();
+}
+
+void Leadership::ReadSoon() {
+  m_progress_at = Time{};
+  m_next_read = Time{};
+}
+
+void Leadership::OnDeposed(Time now) {
+  m_is_leader = false;
+  m_leader.address.clear();
+  m_version.reset();
+  m_next_read = now;
+}
+
+void Leadership::Read(Time now) {
+  m_is_reading = true;
+  const std::string key = kLeaderKey;
+  m_store.Scan(kLeaderTable, key, key + '\x01',
+               [this, now](const StateScanReply& reply) { OnRow(now, reply); });
+}
+
+void Leadership::OnRow(Time sent_at, const StateScanReply& reply) {
+  m_is_reading = false;
+  m_next_read = m_now + kReadPause;
+  if (m_is_leader) return;
+  if (!reply.is_available) {
+    // Silence of the leader during an outage of the store is no sign that it is gone.
+    m_version.reset();
+    return;
+  }
+  const std::int64_t version = reply.rows.empty() ? 0 : reply.rows.front().version;
+  if (!m_version || *m_version != version) {
+    if (!reply.rows.empty()) {
+      const std::optional<LeaderRecord> record = DecodeLeaderRecord(reply.rows.front().value);
+      if (record && (record->epoch > m_leader.epoch ||
+                     (record->epoch == m_leader.epoch && record->sequence >= m_leader.sequence))) {
+        if (record->sequence != m_leader.sequence || record->epoch != m_leader.epoch) m_progress_at = m_now;
+        m_leader = *record;
+      }
+    }
+    m_version = version;
+    m_version_seen_at = m_now;
+  }
+  if (m_is_retired) return;
+  const bool is_vacant = m_leader.address.empty();
+  if (is_vacant && (version == 0 || m_leader.successor == m_address)) return Campaign();
+  const Duration silence = (is_vacant ? kSuccessorLead : kTakeoverSilence) + kRankPause * m_rank;
+  if (sent_at - m_version_seen_at >= silence) Campaign();
+}
+
+void Leadership::Campaign() {
+  m_is_campaigning = true;
+  LeaderRecord record;
+  record.epoch = m_leader.epoch + 1;
+  record.address = m_address;
+  StateTransaction transaction;
+  transaction.guard_table = kLeaderTable;
+  transaction.guard_key = kLeaderKey;
+  transaction.guard_version = *m_version;
+  transaction.writes.push_back(StateWrite{kLeaderTable, kLeaderKey, EncodeLeaderRecord(record)});
+  m_store.Commit(transaction, [this, record](const StateCommitReply& reply) {
+    m_is_campaigning = false;
+    if (reply.status == StateStatus::kDone) {
+      m_is_leader = true;
+      m_leader = record;
+      return m_won(record, reply.version);
+    }
+    // An attempt without an answer may still win. The next read shows the row with this address, which no journal
+    // rewrites, so it falls silent and is taken over like that of any other leader.
+    m_version.reset();
+    m_next_read = m_now;
+  });
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/leadership.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "cell/leader_record.h"
+#include "cell/state_store.h"
+
+namespace jaymast {
+
+/// Decides when this instance takes over as the leader.
+///
+/// The leader rewrites the leader row with each transaction. An instance takes over when it has read the row twice,
+/// `kTakeoverSilence` apart, with the same version, or when the leader has handed over. The conditional write lets one
+/// instance win. The new epoch fences the upstreams, so no lease of the old leader has to run out first.
+class Leadership {
+ public:
+  /// Called with the record and version of the leader row after this instance has won.
+  using Won = std::function<void(const LeaderRecord&, std::int64_t version)>;
+
+  /// @param address peer address of this instance
+  /// @param rank spreads the attempts of instances over time
+  Leadership(StateStore& store, std::string address, std::uint64_t rank, Won won);
+
+  void OnTick(Time now);
+
+  /// The leader has shown progress over a peer connection.
+  void OnLeaderProgress(const std::string& address, std::uint64_t epoch, std::uint64_t sequence, Time now);
+
+  /// Reads the row at the next tick, because the leader is said to have handed over.
+  void ReadSoon();
+
+  /// This instance is not the leader any more.
+  void OnDeposed(Time now);
+
+  /// This instance does not take over any more.
+  void Retire() { m_is_retired = true; }
+
+  bool is_leader() const { return m_is_leader; }
+  /// Address of the leader as last seen, empty when unknown or handed over.
+  const std::string& leader_address() const { return m_leader.address; }
+  std::uint64_t leader_epoch() const { return m_leader.epoch; }
+  /// When the leader last showed progress.
+  Time progress_at() const { return m_progress_at; }
+
+  /// The row must be unchanged for this time; above three times the idle pause of the journal.
+  static constexpr Duration kTakeoverSilence{850'000};
+  /// Progress over the peer connections makes reading the row unnecessary for this time.
+  static constexpr Duration kProgressSilence{600'000};
+
+ private:
+  void Read(Time now);
+  void OnRow(Time sent_at, const StateScanReply& reply);
+  void Campaign();
+
+  StateStore& m_store;
+  const std::string m_address;
+  const std::uint64_t m_rank;
+  const Won m_won;
+  bool m_is_leader = false;
+  bool m_is_retired = false;
+  bool m_is_reading = false;
+  bool m_is_campaigning = false;
+  LeaderRecord m_leader;
+  std::optional<std::int64_t> m_version;  ///< of the row as last read; 0 when absent
+  Time m_version_seen_at{};               ///< when the row was first read with this version
+  Time m_progress_at{};
+  Time m_next_read{};
+  Time m_now{};
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/scheduler.cc
@@ -0,0 +1,293 @@
+#include "cell/scheduler.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "jobs/job_record.h"
+
+namespace jaymast {
+namespace {
+
+/// A transaction carries at most 100 rows, one of which is the leader row.
+constexpr std::size_t kMaxBatchRows = 90;
+/// A transaction carries at most 1 MB; rows are encoded with a third more.
+constexpr std::size_t kMaxBatchBytes = 500'000;
+/// The chain of an objective counts one policy call that names this many upstreams for each step.
+constexpr double kPolicyNamesInObjective = 30;
+/// A job is worth something until this multiple of its objective.
+constexpr int kLateFactor = 3;
+constexpr const char* kJobTable = "jobs";
+constexpr const char* kProgressTable = "progress";
+
+}  // namespace
+
+Scheduler::Scheduler(Ports ports, std::uint64_t epoch, Time now, std::function<void()> mark_dirty)
+    : m_ports(ports),
+      m_epoch(epoch),
+      m_took_over_at(now),
+      m_mark_dirty(std::move(mark_dirty)),
+      m_now(now),
+      m_desk(ports.policy) {}
+
+void Scheduler::AddRecordedJob(Job job, std::int64_t age_ms) {
+  job.accepted = m_now - std::chrono::milliseconds(age_ms);
+  job.change = 1;
+  job.committed_change = 1;
+  const JobId id = job.id;
+  m_jobs[id] = std::make_unique<Job>(std::move(job));
+}
+
+void Scheduler::FinishLoading() {
+  for (auto& [id, job] : m_jobs) {
+    if (IsSettled(*job)) continue;
+    if (!IsFinal(job->state)) m_active.insert(id);
+    SetObjective(*job);
+    for (std::size_t k = 0; k < job->occurrences.size(); ++k) {
+      Occurrence& occurrence = job->occurrences[k];
+      if (occurrence.is_done) continue;
+      occurrence.steps_left = 0;
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        StepState& step = occurrence.steps[s];
+        if (step.not_done > 0) ++occurrence.steps_left;
+        for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+          TaskState& task = step.tasks[i];
+          if (!HoldsRoom(task.phase)) continue;
+          Hold(*job, TaskKey{id, k, s, i}, task, task.upstream);
+          // The earlier leader may have sent the start after it committed the assignment.
+          if (task.phase == TaskPhase::kAssigned) task.phase = TaskPhase::kStarting;
+          if (task.phase == TaskPhase::kStopping) task.stop_due = m_now;
+          task.progressed_at = m_now;
+        }
+      }
+    }
+  }
+}
+
+void Scheduler::OnConfig(std::shared_ptr<const CellConfig> config) {
+  if (m_config != nullptr && config->version <= m_config->version) return;
+  m_ports.events.Emit("config.in_force", {{"version", std::to_string(config->version)}});
+  m_config = std::move(config);
+  for (const QueueConfig& queue : m_config->queues) m_known_queues[queue.id] = queue;
+  for (const JobId& id : m_active) SetObjective(*m_jobs[id]);
+  m_needs_placing = true;
+}
+
+void Scheduler::OnDomainsOut(std::set<DomainId> domains) {
+  if (domains == m_domains_out) return;
+  std::string names;
+  for (const DomainId& domain : domains) names += domain.value() + " ";
+  m_ports.events.Emit("domains.out", {{"domains", names}});
+  m_domains_out = std::move(domains);
+  m_needs_placing = true;
+}
+
+void Scheduler::OnTick(Time now) {
+  m_now = now;
+  for (auto& [id, upstream] : m_upstreams) SyncIfDue(upstream);
+  for (auto it = m_active.begin(); it != m_active.end();) {
+    Job& job = *m_jobs[*it++];
+    if (job.spec.repeat_count > 0 || job.occurrences.front().steps.empty()) OpenDueOccurrences(job);
+  }
+  if (m_needs_placing || now >= m_next_place) Place();
+}
+
+JournalBatch Scheduler::Collect() {
+  JournalBatch batch;
+  std::vector<std::pair<JobId, std::uint64_t>> covered;
+  std::size_t bytes = 0;
+  while (!m_commit_queue.empty() && batch.writes.size() + 3 <= kMaxBatchRows && bytes < kMaxBatchBytes) {
+    const JobId id = m_commit_queue.front();
+    m_commit_queue.pop_front();
+    Job* job = FindJob(id);
+    if (job == nullptr) continue;
+    job->is_queued_for_commit = false;
+    covered.emplace_back(id, job->change);
+    const auto put = [&batch, &bytes, &id](const char* table, std::optional<std::string> value) {
+      if (value) bytes += value->size();
+      batch.writes.push_back(StateWrite{table, id.value(), std::move(value)});
+    };
+    if (IsSettled(*job)) {
+      if (!job->is_final_recorded) {
+        put(kJobTable, EncodeJobRecord(*job));
+        put(kProgressTable, std::nullopt);
+        job->is_final_recorded = true;
+      }
+      continue;
+    }
+    if (!job->is_spec_recorded) {
+      put(kJobTable, EncodeJobRecord(*job));
+      job->is_spec_recorded = true;
+    }
+    put(kProgressTable, EncodeProgressRecord(*job));
+  }
+  if (!m_commit_queue.empty()) m_mark_dirty();
+  batch.committed = [this, covered = std::move(covered)] {
+    for (const auto& [id, change] : covered) {
+      Job* job = FindJob(id);
+      if (job == nullptr) continue;
+      job->committed_change = change;
+      if (change == job->change) job->shown = job->state;
+      std::vector<std::function<void()>> actions;
+      auto& waiting = job->when_committed;
+      const auto first_open = std::find_if(waiting.begin(), waiting.end(),
+                                           [change = change](const auto& entry) { return entry.first > change; });
+      for (auto it = waiting.begin(); it != first_open; ++it) actions.push_back(std::move(it->second));
+      waiting.erase(waiting.begin(), first_open);
+      for (const auto& action : actions) action();
+      if (IsSettled(*job) && job->is_final_recorded && job->when_committed.empty()) {
+        job->occurrences.clear();
+        job->spec = JobSpec{};
+      }
+    }
+  };
+  return batch;
+}
+
+Job* Scheduler::FindJob(const JobId& id) {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+TaskState* Scheduler::FindTask(const TaskKey& key) {
+  Job* job = FindJob(key.job);
+  if (job == nullptr || key.occurrence >= job->occurrences.size()) return nullptr;
+  Occurrence& occurrence = job->occurrences[key.occurrence];
+  if (key.step >= occurrence.steps.size()) return nullptr;
+  StepState& step = occurrence.steps[key.step];
+  return key.index < step.tasks.size() ? &step.tasks[key.index] : nullptr;
+}
+
+const QueueConfig* Scheduler::QueueOf(const Job& job) const {
+  const auto found = m_known_queues.find(job.queue);
+  return found == m_known_queues.end() ? nullptr : &found->second;
+}
+
+void Scheduler::Mark(Job& job) {
+  ++job.change;
+  if (!job.is_queued_for_commit) {
+    job.is_queued_for_commit = true;
+    m_commit_queue.push_back(job.id);
+  }
+  m_mark_dirty();
+}
+
+void Scheduler::WhenCommitted(Job& job, std::function<void()> action) {
+  job.when_committed.emplace_back(job.change, std::move(action));
+}
+
+void Scheduler::Hold(Job& job, const TaskKey& key, TaskState& task, const UpstreamId& upstream) {
+  UpstreamState& state = m_upstreams[upstream];
+  if (state.listing.id.empty()) {
+    state.listing.id = upstream;
+    state.token = m_epoch << 20U;
+    state.lapse_at = m_took_over_at + kLongestLease;
+  }
+  const StepSpec& spec = job.spec.steps[key.step];
+  Resources demand = spec.demand;
+  m_team_use[job.team] += demand;
+  if (spec.fills) demand.cpu_millis = 0;
+  state.used += demand;
+  state.tasks.push_back(key);
+  task.upstream = upstream;
+}
+
+void Scheduler::Release(Job& job, const TaskKey& key, TaskState& task) {
+  UpstreamState& state = m_upstreams[task.upstream];
+  const StepSpec& spec = job.spec.steps[key.step];
+  Resources demand = spec.demand;
+  m_team_use[job.team] -= demand;
+  if (spec.fills) demand.cpu_millis = 0;
+  state.used -= demand;
+  const auto found = std::find(state.tasks.begin(), state.tasks.end(), key);
+  if (found != state.tasks.end()) {
+    *found = state.tasks.back();
+    state.tasks.pop_back();
+  }
+  task.confirmed_at = Time::max();
+  task.stop_due = Time::max();
+  task.percent = -1;
+  task.phase = TaskPhase::kWaiting;
+  ++StepOf(job, key).waiting;
+  m_needs_placing = true;
+}
+
+void Scheduler::SetObjective(Job& job) {
+  const QueueConfig* queue = QueueOf(job);
+  if (queue == nullptr) return;
+  const double call_ms =
+      queue->policy ? queue->policy->call_ms + queue->policy->per_upstream_ms * kPolicyNamesInObjective : 0;
+  std::vector<double> chain(job.spec.steps.size(), 0);
+  double longest = 0;
+  job.work_core_s = 0;
+  for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+    const StepSpec& step = job.spec.steps[s];
+    for (const std::size_t before : step.after) {
+      if (before < s) chain[s] = std::max(chain[s], chain[before]);
+    }
+    chain[s] += static_cast<double>(step.estimate_ms) + call_ms;
+    longest = std::max(longest, chain[s]);
+    job.work_core_s += static_cast<double>(step.task_count * step.estimate_ms) / 1000.0 *
+                       static_cast<double>(step.demand.cpu_millis) / 1000.0;
+  }
+  const auto objective_ms =
+      static_cast<std::int64_t>(longest * queue->stretch) + queue->target_duration_ms;
+  job.objective = job.accepted + std::chrono::milliseconds(objective_ms);
+  job.late_bound = job.accepted + std::chrono::milliseconds(objective_ms * kLateFactor);
+}
+
+void Scheduler::FinishTask(Job& job, const TaskKey& key, TaskState& task) {
+  if (task.phase == TaskPhase::kDone) return;
+  StepState& step = StepOf(job, key);
+  if (task.phase == TaskPhase::kWaiting) --step.waiting;
+  task.phase = TaskPhase::kDone;
+  if (--step.not_done > 0) return;
+  step.tickets.clear();
+  step.verdicts.clear();
+  Occurrence& occurrence = job.occurrences[key.occurrence];
+  m_needs_placing = true;
+  if (--occurrence.steps_left > 0) return;
+  occurrence.is_done = true;
+  const bool is_complete = std::all_of(job.occurrences.begin(), job.occurrences.end(),
+                                       [](const Occurrence& other) { return other.is_done; });
+  if (is_complete && !IsFinal(job.state)) EndJob(job, JobState::kCompleted);
+}
+
+void Scheduler::EndJob(Job& job, JobState state) {
+  job.state = state;
+  m_active.erase(job.id);
+  m_ports.events.Emit("job.ended", {{"job", job.id.value()},
+                                    {"state", std::string(ToString(state))},
+                                    {"after_ms", std::to_string(ToMillis(m_now - job.accepted))}});
+  StopAll(job, "job ended");
+  Mark(job);
+}
+
+bool Scheduler::IsSettled(const Job& job) const {
+  if (!IsFinal(job.state)) return false;
+  for (const Occurrence& occurrence : job.occurrences) {
+    for (const StepState& step : occurrence.steps) {
+      const bool holds = std::any_of(step.tasks.begin(), step.tasks.end(),
+                                     [](const TaskState& task) { return HoldsRoom(task.phase); });
+      if (holds) return false;
+    }
+  }
+  return true;
+}
+
+void Scheduler::OpenDueOccurrences(Job& job) {
+  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+    Occurrence& occurrence = job.occurrences[k];
+    if (occurrence.is_done || !occurrence.steps.empty()) continue;
+    if (job.spec.repeat_count > 0) {
+      const std::int64_t due = job.spec.start_at_unix_ms + static_cast<std::int64_t>(k) * job.spec.interval_ms;
+      if (m_standing.unix_now_ms < due) return;
+    }
+    OpenOccurrence(job, k);
+    m_needs_placing = true;
+    Mark(job);
+  }
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/scheduler.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+#include "cell/admission.h"
+#include "cell/advice_desk.h"
+#include "cell/cell_event_sink.h"
+#include "cell/client_call.h"
+#include "cell/journal.h"
+#include "cell/policy_port.h"
+#include "cell/upstream_port.h"
+#include "cell/upstream_state.h"
+#include "jobs/cell_config.h"
+#include "jobs/job.h"
+
+namespace jaymast {
+
+/// What the leader knows of its own standing, refreshed at each tick.
+struct LeaderStanding {
+  Time confirmed_at{};            ///< no other leader existed at this time
+  bool is_store_stalled = false;  ///< the store does not answer; nothing can be accepted
+  std::int64_t store_now_ms = 0;
+  std::int64_t unix_now_ms = 0;  ///< time of day, which may jump
+};
+
+/// Decisions of the leader: accepts jobs, places their tasks, starts and stops them, and keeps the record of both.
+///
+/// No sockets, clocks or threads. A start is sent only after its assignment is in the store, and an end is
+/// acknowledged to its upstream only after it is in the store.
+class Scheduler {
+ public:
+  struct Ports {
+    UpstreamPort& upstreams;
+    PolicyPort& policy;
+    CellEventSink& events;
+  };
+
+  /// @param epoch number of the takeover; all tokens of this leader lie above those of earlier ones
+  Scheduler(Ports ports, std::uint64_t epoch, Time now, std::function<void()> mark_dirty);
+
+  // Loading, before the first tick.
+  void AddRecordedJob(Job job, std::int64_t age_ms);
+  /// Builds the use of upstreams and organisations from the recorded jobs.
+  void FinishLoading();
+
+  // Feeds from the platform.
+  void OnConfig(std::shared_ptr<const CellConfig> config);
+  /// The feed answered at this time, so the configuration is current as of then.
+  void OnConfigCurrent(Time now) { m_config_current_at = now; }
+  void OnDomainsOut(std::set<DomainId> domains);
+  void OnUpstreamListed(UpstreamListing listing);
+  void OnUpstreamUnlisted(const UpstreamId& id);
+  /// Removes all upstreams that are not in a complete list.
+  void OnListComplete(const std::set<UpstreamId>& listed);
+
+  void SetAgents(const std::vector<std::string>& addresses) { m_desk.SetAgents(addresses); }
+  void SetStanding(const LeaderStanding& standing) { m_standing = standing; }
+
+  void OnClientCall(ClientCall call, ClientReplyFunction reply);
+  void OnTick(Time now);
+
+  /// Rows that have changed since the last call.
+  JournalBatch Collect();
+
+  std::size_t active_jobs() const { return m_active.size(); }
+  std::size_t known_jobs() const { return m_jobs.size(); }
+
+ private:
+  /// Work that this leader can't reach is over this long after the takeover: earlier leaders bound their leases so.
+  static constexpr Duration kLongestLease{15'000'000};
+  /// Answers that are on their way when a lease ends.
+  static constexpr Duration kLapseMargin{300'000};
+  /// A stop without a listed end is sent again after this time.
+  static constexpr Duration kStopRetry{500'000};
+  /// An upstream that refused a start or could not be reached gets no start for this time.
+  static constexpr Duration kShortQuarantine{700'000};
+
+  struct StepRef {
+    Job* job = nullptr;
+    std::size_t occurrence = 0;
+    std::size_t step = 0;
+    int group = 0;  ///< 0 can be timely, 1 can be late, 2 is worth nothing any more
+    std::int64_t priority = 0;
+    Time objective{};
+  };
+
+  // scheduler.cc
+  Job* FindJob(const JobId& id);
+  TaskState* FindTask(const TaskKey& key);
+  StepState& StepOf(Job& job, const TaskKey& key) { return job.occurrences[key.occurrence].steps[key.step]; }
+  const QueueConfig* QueueOf(const Job& job) const;
+  void Mark(Job& job);
+  void WhenCommitted(Job& job, std::function<void()> action);
+  void Hold(Job& job, const TaskKey& key, TaskState& task, const UpstreamId& upstream);
+  void Release(Job& job, const TaskKey& key, TaskState& task);
+  void SetObjective(Job& job);
+  void FinishTask(Job& job, const TaskKey& key, TaskState& task);
+  void EndJob(Job& job, JobState state);
+  void OpenDueOccurrences(Job& job);
+  bool IsSettled(const Job& job) const;
+
+  // scheduler_clients.cc
+  void Submit(const ClientCall& call, const QueueConfig& queue, const JobId& id, const TeamId& team,
+              const ClientReplyFunction& reply);
+  void Cancel(const JobId& id, const ClientReplyFunction& reply);
+  std::int64_t CountWaiting(const QueueId& queue) const;
+
+  // scheduler_orders.cc
+  void Assign(Job& job, const TaskKey& key, const UpstreamId& upstream);
+  void SendStart(const TaskKey& key, std::int32_t run);
+  void OnStartReply(const TaskKey& key, std::int32_t run, std::uint64_t token, const OrderReply& reply);
+  void Unassign(Job& job, const TaskKey& key, TaskState& task, std::string_view reason);
+  void StopTask(Job& job, const TaskKey& key, TaskState& task, std::string_view reason);
+  void SendStop(const UpstreamState& upstream, const TaskKey& key, std::int32_t run);
+  void StopAll(Job& job, std::string_view reason);
+  void AbortGang(Job& job, const TaskKey& key, std::string_view reason);
+  void StopUnconfirmedMembers(Job& job, const TaskKey& key);
+  /// Makes all orders up to a token void, so that the next list settles what became of them.
+  void Fence(UpstreamState& upstream, std::uint64_t order_token);
+  std::int64_t LeaseUntil(UpstreamState& upstream);
+
+  // scheduler_upstreams.cc
+  UpstreamState* FindUpstream(const UpstreamId& id);
+  bool IsUsable(const UpstreamState& upstream) const;
+  void SyncIfDue(UpstreamState& upstream);
+  void OnSyncReply(const UpstreamId& id, std::uint64_t number, const SyncReply& reply);
+  void OnRunning(UpstreamState& upstream, const RunningRow& row);
+  void OnEnd(UpstreamState& upstream, const EndRow& row);
+  void OnFailedRun(Job& job, const TaskKey& key, TaskState& task, UpstreamState& upstream);
+  void AcknowledgeEnds(UpstreamState& upstream);
+  void LoseMissing(UpstreamState& upstream, const std::set<TaskKey>& seen);
+  void LoseAll(UpstreamState& upstream, std::string_view reason);
+  void LoseTask(const TaskKey& key, std::string_view reason);
+  void CheckProgress(UpstreamState& upstream);
+
+  // scheduler_placement.cc
+  void Place();
+  void PlaceStep(const StepRef& ref);
+  bool PlaceGang(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
+  void PlaceTasks(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
+  std::vector<UpstreamState*> Candidates(const StepRef& ref);
+  bool MayRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const;
+  std::int64_t Slots(const StepRef& ref, const UpstreamState& upstream, const Resources& room) const;
+  void Reserve(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
+  void AskPolicy(const StepRef& ref, const QueueConfig& queue);
+  void OnPolicyAnswer(const TaskKey& step_key, const std::vector<UpstreamId>& named, const PolicyAnswer& answer);
+  Resources TeamRoom(const TeamId& team) const;
+
+  Ports m_ports;
+  const std::uint64_t m_epoch;
+  const Time m_took_over_at;
+  const std::function<void()> m_mark_dirty;
+  Time m_now;
+  LeaderStanding m_standing;
+  std::shared_ptr<const CellConfig> m_config;
+  std::map<QueueId, QueueConfig> m_known_queues;  ///< also those that were removed, for jobs accepted before
+  Time m_config_current_at{};
+  std::set<DomainId> m_domains_out;
+  std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
+  std::set<JobId> m_active;
+  std::deque<JobId> m_commit_queue;
+  std::map<UpstreamId, UpstreamState> m_upstreams;
+  std::map<TeamId, Resources> m_team_use;
+  AdviceDesk m_desk;
+  Admission m_admission;
+  std::map<QueueId, double> m_allowed_share;  ///< learned share of upstreams that the policy allows
+  std::map<UpstreamId, int> m_reserved;       ///< for waiting gangs, within one pass
+  std::uint64_t m_token_counter = 0;
+  bool m_needs_placing = true;
+  Time m_next_place{};
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/scheduler_clients.cc
@@ -0,0 +1,153 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "cell/scheduler.h"
+#include "jobs/job_record.h"
+
+namespace jaymast {
+namespace {
+
+/// A negative answer from an older configuration could be wrong; the leader re-reads it at least this often.
+constexpr Duration kMaxConfigAge{1'700'000};
+/// Answers that need no write are given only while no other leader can have written for this long.
+constexpr Duration kMaxUnconfirmed{1'200'000};
+constexpr std::int64_t kStoreRetryAfterS = 2;
+constexpr std::int64_t kMaxTasksOfStep = 10'000;
+
+}  // namespace
+
+void Scheduler::OnClientCall(ClientCall call, ClientReplyFunction reply) {
+  const bool is_config_fresh = m_config != nullptr && m_now - m_config_current_at <= kMaxConfigAge;
+  const bool is_confirmed = m_now - m_standing.confirmed_at <= kMaxUnconfirmed;
+  if (m_config == nullptr) return reply({ClientOutcome::kUnavailable, {}, 0, 1});
+  const QueueConfig* queue = m_config->FindQueue(call.host, call.path);
+  if (queue == nullptr) {
+    if (!is_config_fresh || !is_confirmed) return reply({ClientOutcome::kNotLeader});
+    return reply({ClientOutcome::kNoSuchQueue});
+  }
+  TeamId team;
+  if (call.key) {
+    const auto found = m_config->team_of_key.find(*call.key);
+    if (found != m_config->team_of_key.end()) team = found->second;
+  }
+  if (team.empty() && !queue->is_public) {
+    if (!is_config_fresh || !is_confirmed) return reply({ClientOutcome::kNotLeader});
+    return reply({ClientOutcome::kUnknownKey});
+  }
+  if (call.action == ClientAction::kReadQueue) {
+    if (!is_confirmed) return reply({ClientOutcome::kNotLeader});
+    return reply({ClientOutcome::kQueueLength, {}, CountWaiting(queue->id)});
+  }
+  const JobId id(call.path.substr(queue->prefix.size()));
+  if (call.action == ClientAction::kCancel) {
+    // A revoked key must not cancel either, so the configuration has to be current.
+    if (!is_config_fresh) return reply({ClientOutcome::kNotLeader});
+    return Cancel(id, reply);
+  }
+  Job* job = FindJob(id);
+  if (call.action == ClientAction::kSubmit && job == nullptr) {
+    if (!is_config_fresh || m_standing.is_store_stalled) {
+      m_ports.events.Emit("job.refused", {{"job", id.value()}, {"reason", "store does not answer"}});
+      return reply({ClientOutcome::kUnavailable, {}, 0, kStoreRetryAfterS});
+    }
+    return Submit(call, *queue, id, team, reply);
+  }
+  if (job == nullptr) return reply({is_confirmed ? ClientOutcome::kNoSuchJob : ClientOutcome::kNotLeader});
+  if (call.action == ClientAction::kSubmit) {
+    if (job->committed_change > 0) return reply({ClientOutcome::kAccepted});
+    return WhenCommitted(*job, [reply] { reply({ClientOutcome::kAccepted}); });
+  }
+  if (job->committed_change == 0) {
+    return WhenCommitted(*job, [this, id, reply] {
+      const Job* committed = FindJob(id);
+      reply({ClientOutcome::kState, committed->shown});
+    });
+  }
+  reply({ClientOutcome::kState, job->shown});
+}
+
+void Scheduler::Submit(const ClientCall& call, const QueueConfig& queue, const JobId& id, const TeamId& team,
+                       const ClientReplyFunction& reply) {
+  if (!call.spec || call.spec->steps.empty()) return reply({ClientOutcome::kMalformed});
+  for (std::size_t s = 0; s < call.spec->steps.size(); ++s) {
+    const StepSpec& step = call.spec->steps[s];
+    if (step.task_count < 1 || step.task_count > kMaxTasksOfStep) return reply({ClientOutcome::kMalformed});
+    for (const std::size_t before : step.after) {
+      if (before >= call.spec->steps.size() || before == s) return reply({ClientOutcome::kMalformed});
+    }
+  }
+  Job job;
+  job.id = id;
+  job.queue = queue.id;
+  job.team = team;
+  job.spec = *call.spec;
+  job.accepted = m_now;
+  job.recorded_at_ms = m_standing.store_now_ms;
+  job.occurrences.resize(static_cast<std::size_t>(job.spec.occurrence_count()));
+  SetObjective(job);
+
+  AdmissionLoad load;
+  const bool is_immediate = job.spec.repeat_count == 0 && !job.spec.steps.front().is_long_running;
+  if (is_immediate) {
+    for (const auto& [upstream_id, upstream] : m_upstreams) {
+      if (IsUsable(upstream)) load.total_cores += static_cast<double>(upstream.listing.capacity.cpu_millis) / 1000.0;
+    }
+    for (const JobId& active : m_active) {
+      const Job& other = *m_jobs[active];
+      const QueueConfig* other_queue = QueueOf(other);
+      if (other_queue == nullptr || other_queue->priority > queue.priority || m_now > other.late_bound) continue;
+      for (const Occurrence& occurrence : other.occurrences) {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+          const StepSpec& step = other.spec.steps[s];
+          load.urgent_core_s += static_cast<double>(occurrence.steps[s].waiting * step.estimate_ms) / 1000.0 *
+                                static_cast<double>(step.demand.cpu_millis) / 1000.0;
+        }
+      }
+    }
+    const auto objective_s = std::chrono::duration<double>(job.objective - m_now).count();
+    const double target_s = static_cast<double>(queue.target_duration_ms) / 1000.0;
+    const double chain_s = queue.stretch > 0 ? (objective_s - target_s) / queue.stretch : 0;
+    load.slack_s = objective_s - chain_s;
+    const auto team_config = m_config->teams.find(team);
+    if (team_config != m_config->teams.end()) load.weight = team_config->second.weight;
+    const AdmissionDecision decision = m_admission.Decide(team, load, m_now);
+    if (!decision.is_admitted) {
+      m_ports.events.Emit("job.refused", {{"job", id.value()},
+                                          {"reason", "queue is longer than the slack"},
+                                          {"queued_core_s", fmt::format("{:.1f}", load.urgent_core_s)},
+                                          {"slack_s", fmt::format("{:.2f}", load.slack_s)},
+                                          {"retry_after_s", std::to_string(decision.retry_after_s)}});
+      return reply({ClientOutcome::kOverloaded, {}, 0, decision.retry_after_s});
+    }
+  }
+  auto stored = std::make_unique<Job>(std::move(job));
+  Job& accepted = *stored;
+  m_jobs[id] = std::move(stored);
+  m_active.insert(id);
+  Mark(accepted);
+  WhenCommitted(accepted, [reply] { reply({ClientOutcome::kAccepted}); });
+  OpenDueOccurrences(accepted);
+  m_ports.events.Emit("job.accepted", {{"job", id.value()}, {"queue", queue.id.value()}, {"team", team.value()}});
+}
+
+void Scheduler::Cancel(const JobId& id, const ClientReplyFunction& reply) {
+  Job* job = FindJob(id);
+  if (job == nullptr) {
+    const bool is_confirmed = m_now - m_standing.confirmed_at <= kMaxUnconfirmed;
+    return reply({is_confirmed ? ClientOutcome::kNoSuchJob : ClientOutcome::kNotLeader});
+  }
+  if (!IsFinal(job->state)) EndJob(*job, JobState::kCancelled);
+  if (job->change == job->committed_change) return reply({ClientOutcome::kCancelled});
+  WhenCommitted(*job, [reply] { reply({ClientOutcome::kCancelled}); });
+}
+
+std::int64_t Scheduler::CountWaiting(const QueueId& queue) const {
+  return std::count_if(m_active.begin(), m_active.end(), [this, &queue](const JobId& id) {
+    const Job& job = *m_jobs.at(id);
+    return job.queue == queue && !job.has_started;
+  });
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/scheduler_orders.cc
@@ -0,0 +1,196 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "cell/scheduler.h"
+#include "jobs/job_record.h"
+
+namespace jaymast {
+namespace {
+
+/// Work survives a cut of this length between the leader and the upstream. Upstreams shorten leases above 10 s.
+constexpr Duration kLease{9'000'000};
+/// Leases end at most this long after the leader was last confirmed, so a successor knows when work that it can't reach
+/// is over.
+constexpr Duration kLeaseBeyondStanding{14'000'000};
+/// An unanswered start is sent again this often before the upstream is fenced.
+constexpr std::int32_t kMaxSendAttempts = 3;
+}  // namespace
+
+void Scheduler::Assign(Job& job, const TaskKey& key, const UpstreamId& upstream) {
+  StepState& step = StepOf(job, key);
+  TaskState& task = step.tasks[key.index];
+  task.phase = TaskPhase::kAssigned;
+  ++task.run;
+  task.send_attempts = 0;
+  --step.waiting;
+  Hold(job, key, task, upstream);
+  Mark(job);
+  WhenCommitted(job, [this, key, run = task.run] { SendStart(key, run); });
+}
+
+std::int64_t Scheduler::LeaseUntil(UpstreamState& upstream) {
+  const Time bound = m_standing.confirmed_at + kLeaseBeyondStanding;
+  const Duration span = std::min(kLease, bound - m_now);
+  if (span <= Duration::zero()) return 0;
+  // The clock of an upstream may be slow, so the lease may last longer here than there.
+  upstream.lapse_at = std::max(upstream.lapse_at, m_now + span + span / 32 + kLapseMargin);
+  return upstream.ClockAt(m_now) + ToMillis(span);
+}
+
+void Scheduler::SendStart(const TaskKey& key, std::int32_t run) {
+  TaskState* task = FindTask(key);
+  if (task == nullptr || task->run != run) return;
+  if (task->phase != TaskPhase::kAssigned && task->phase != TaskPhase::kStarting) return;
+  Job& job = *FindJob(key.job);
+  UpstreamState& upstream = m_upstreams[task->upstream];
+  StepState& step = StepOf(job, key);
+  const bool is_first = task->phase == TaskPhase::kAssigned;
+  const auto ticket = step.tickets.find(task->upstream);
+  const QueueConfig* queue = QueueOf(job);
+  const bool needs_ticket = queue != nullptr && queue->policy.has_value();
+  const bool has_ticket = !needs_ticket || (ticket != step.tickets.end() && ticket->second.expires > m_now);
+  if (!IsUsable(upstream) || !has_ticket || IsFinal(job.state)) {
+    if (is_first) {
+      Unassign(job, key, *task, "upstream or ticket is not usable any more");
+      if (job.spec.steps[key.step].is_gang) AbortGang(job, key, "member was not sent");
+      return;
+    }
+    // The start may still arrive; the fence and the next list settle what became of it.
+    return Fence(upstream, task->token);
+  }
+  const std::int64_t until = LeaseUntil(upstream);
+  task->phase = TaskPhase::kStarting;
+  task->token = upstream.token;
+  ++task->send_attempts;
+  StartOrder order;
+  order.target = {upstream.listing.id, upstream.listing.address, upstream.token};
+  order.task = key;
+  order.run = run;
+  order.payload = job.spec.payload;
+  order.checkpoint = task->checkpoint;
+  if (needs_ticket) order.ticket = ticket->second.text;
+  order.lease_until_ms = until;
+  m_ports.upstreams.Start(order, [this, key, run, token = upstream.token](const OrderReply& reply) {
+    OnStartReply(key, run, token, reply);
+  });
+}
+
+void Scheduler::OnStartReply(const TaskKey& key, std::int32_t run, std::uint64_t token, const OrderReply& reply) {
+  TaskState* task = FindTask(key);
+  if (task == nullptr || task->run != run || task->phase != TaskPhase::kStarting) return;
+  Job& job = *FindJob(key.job);
+  UpstreamState& upstream = m_upstreams[task->upstream];
+  const bool is_gang = job.spec.steps[key.step].is_gang;
+  if (reply.clock_ms > 0) {
+    upstream.clock_ms = reply.clock_ms;
+    upstream.clock_at = m_now;
+  }
+  if (reply.status == OrderStatus::kAccepted) {
+    task->phase = TaskPhase::kRunning;
+    task->confirmed_at = m_now;
+    task->progressed_at = m_now;
+    if (!job.has_started) {
+      job.has_started = true;
+      if (!IsFinal(job.state)) job.state = JobState::kRunning;
+      Mark(job);
+    }
+    return;
+  }
+  if (reply.status == OrderStatus::kUnknown) {
+    if (task->send_attempts < kMaxSendAttempts && token == upstream.token) return SendStart(key, run);
+    return Fence(upstream, token);
+  }
+  m_ports.events.Emit("start.refused", {{"task", FormatTaskKey(key)},
+                                        {"run", std::to_string(run)},
+                                        {"upstream", task->upstream.value()},
+                                        {"reason", std::string(ToString(reply.status))},
+                                        {"attempt", std::to_string(task->send_attempts)}});
+  // A refusal of a repeated start does not tell what became of the first one.
+  if (task->send_attempts > 1 || reply.status == OrderStatus::kFenced) return Fence(upstream, task->token);
+  if (reply.status == OrderStatus::kBadTicket) StepOf(job, key).tickets.erase(task->upstream);
+  if (reply.status == OrderStatus::kUnhealthy || reply.status == OrderStatus::kNotSent) {
+    upstream.quarantined_until = m_now + kShortQuarantine;
+  }
+  if (reply.status == OrderStatus::kOtherIncarnation) upstream.next_sync = m_now;
+  Unassign(job, key, *task, ToString(reply.status));
+  if (is_gang) AbortGang(job, key, "member was refused");
+}
+
+void Scheduler::Unassign(Job& job, const TaskKey& key, TaskState& task, std::string_view reason) {
+  m_ports.events.Emit("task.unassigned", {{"task", FormatTaskKey(key)},
+                                          {"run", std::to_string(task.run)},
+                                          {"upstream", task.upstream.value()},
+                                          {"reason", std::string(reason)}});
+  Release(job, key, task);
+  Mark(job);
+}
+
+void Scheduler::Fence(UpstreamState& upstream, std::uint64_t order_token) {
+  // Orders with a lower token do nothing once a sync with the new one is answered.
+  if (order_token == upstream.token) upstream.token = (m_epoch << 20U) + ++m_token_counter;
+  if (upstream.sync_token == upstream.token) return;
+  upstream.next_sync = m_now;
+  upstream.is_syncing = false;
+  ++upstream.sync_number;
+}
+
+void Scheduler::StopTask(Job& job, const TaskKey& key, TaskState& task, std::string_view reason) {
+  if (task.phase == TaskPhase::kAssigned) {
+    Unassign(job, key, task, reason);
+    return;
+  }
+  if (task.phase != TaskPhase::kStarting && task.phase != TaskPhase::kRunning) return;
+  m_ports.events.Emit("task.stop", {{"task", FormatTaskKey(key)},
+                                    {"run", std::to_string(task.run)},
+                                    {"upstream", task.upstream.value()},
+                                    {"reason", std::string(reason)}});
+  task.phase = TaskPhase::kStopping;
+  task.confirmed_at = Time::max();
+  Mark(job);
+  task.stop_due = m_now + kStopRetry;
+  SendStop(m_upstreams[task.upstream], key, task.run);
+}
+
+void Scheduler::SendStop(const UpstreamState& upstream, const TaskKey& key, std::int32_t run) {
+  StopOrder order;
+  order.target = {upstream.listing.id, upstream.listing.address, upstream.token};
+  order.task = key;
+  order.run = run;
+  m_ports.upstreams.Stop(order, [this, key, run](const OrderReply& reply) {
+    TaskState* task = FindTask(key);
+    if (task == nullptr || task->run != run || task->phase != TaskPhase::kStopping) return;
+    // From now on a list without the run means that it is over or never begins.
+    if (reply.status == OrderStatus::kAccepted && task->confirmed_at == Time::max()) task->confirmed_at = m_now;
+  });
+}
+
+void Scheduler::StopAll(Job& job, std::string_view reason) {
+  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+    for (std::size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+      StepState& step = job.occurrences[k].steps[s];
+      for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        StopTask(job, TaskKey{job.id, k, s, i}, step.tasks[i], reason);
+      }
+    }
+  }
+}
+
+void Scheduler::AbortGang(Job& job, const TaskKey& key, std::string_view reason) {
+  StepState& step = StepOf(job, key);
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    StopTask(job, TaskKey{key.job, key.occurrence, key.step, i}, step.tasks[i], reason);
+  }
+}
+
+void Scheduler::StopUnconfirmedMembers(Job& job, const TaskKey& key) {
+  StepState& step = StepOf(job, key);
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskPhase phase = step.tasks[i].phase;
+    if (phase != TaskPhase::kAssigned && phase != TaskPhase::kStarting) continue;
+    StopTask(job, TaskKey{key.job, key.occurrence, key.step, i}, step.tasks[i], "gang is broken");
+  }
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/scheduler_placement.cc
@@ -0,0 +1,292 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+#include "cell/scheduler.h"
+#include "jobs/job_record.h"
+
+namespace jaymast {
+namespace {
+
+constexpr Duration kIdlePlacePause{100'000};
+/// A ticket must outlast the commit of the assignment and the way to the upstream.
+constexpr Duration kTicketMargin{150'000};
+/// Share of upstreams that the policy is expected to allow before anything is known of a queue.
+constexpr double kInitialAllowedShare = 0.4;
+constexpr double kAllowedShareWeight = 0.1;  ///< of the newest answer in the running mean
+/// Upstreams are named for this multiple of the room that a step needs, as other steps take room meanwhile.
+constexpr double kNamedRoomFactor = 1.5;
+constexpr double kNamedRoomFactorGang = 2.0;
+constexpr std::size_t kMinNamed = 8;
+constexpr std::size_t kMaxNamed = 100;  ///< bound of the policy service
+/// Pause after an answer before the same step is asked for again.
+constexpr Duration kAskPause{120'000};
+/// Gangs for which room is kept in one pass.
+constexpr int kMaxReservingGangs = 2;
+/// Short work passes a reservation until the gang has waited this long.
+constexpr Duration kReservePatience{1'500'000};
+
+}  // namespace
+
+void Scheduler::Place() {
+  m_needs_placing = false;
+  m_next_place = m_now + kIdlePlacePause;
+  m_reserved.clear();
+  std::vector<StepRef> refs;
+  for (const JobId& id : m_active) {
+    Job& job = *m_jobs[id];
+    const QueueConfig* queue = QueueOf(job);
+    if (queue == nullptr || m_config == nullptr) continue;
+    const int group = m_now < job.objective ? 0 : (m_now < job.late_bound ? 1 : 2);
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+      Occurrence& occurrence = job.occurrences[k];
+      if (occurrence.is_done) continue;
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        if (occurrence.steps[s].waiting == 0) continue;
+        const auto& after = job.spec.steps[s].after;
+        const bool is_ready = std::all_of(after.begin(), after.end(), [&occurrence](std::size_t before) {
+          return occurrence.steps[before].not_done == 0;
+        });
+        if (is_ready) refs.push_back({&job, k, s, group, queue->priority, job.objective});
+      }
+    }
+  }
+  std::sort(refs.begin(), refs.end(), [](const StepRef& a, const StepRef& b) {
+    return std::tie(a.group, a.priority, a.objective, a.job->id, a.occurrence, a.step) <
+           std::tie(b.group, b.priority, b.objective, b.job->id, b.occurrence, b.step);
+  });
+  for (const StepRef& ref : refs) PlaceStep(ref);
+}
+
+bool Scheduler::MayRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const {
+  if (upstream.listing.service != queue.service || !IsUsable(upstream)) return false;
+  return spec.required_label.empty() || upstream.HasLabel(spec.required_label);
+}
+
+Resources Scheduler::TeamRoom(const TeamId& team) const {
+  constexpr std::int64_t kUnbounded = std::numeric_limits<std::int64_t>::max() / 4;
+  Resources room{kUnbounded, kUnbounded, kUnbounded, kUnbounded};
+  const auto config = m_config->teams.find(team);
+  if (config == m_config->teams.end()) return room;
+  const auto use = m_team_use.find(team);
+  const Resources used = use == m_team_use.end() ? Resources{} : use->second;
+  const Resources& limit = config->second.limit;
+  if (limit.cpu_millis > 0) room.cpu_millis = limit.cpu_millis - used.cpu_millis;
+  if (limit.memory_mb > 0) room.memory_mb = limit.memory_mb - used.memory_mb;
+  if (limit.accelerators > 0) room.accelerators = limit.accelerators - used.accelerators;
+  return room;
+}
+
+std::int64_t Scheduler::Slots(const StepRef& ref, const UpstreamState& upstream, const Resources& room) const {
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  std::int64_t slots = spec.task_count;
+  const auto limit = [&slots](std::int64_t available, std::int64_t needed) {
+    if (needed > 0) slots = std::min(slots, std::max<std::int64_t>(0, available) / needed);
+  };
+  if (!spec.fills) limit(room.cpu_millis, spec.demand.cpu_millis);
+  limit(room.memory_mb, spec.demand.memory_mb);
+  limit(room.accelerators, spec.demand.accelerators);
+  if (spec.max_per_upstream > 0) {
+    const auto here = std::count_if(upstream.tasks.begin(), upstream.tasks.end(), [&ref](const TaskKey& key) {
+      return key.job == ref.job->id && key.occurrence == ref.occurrence && key.step == ref.step;
+    });
+    slots = std::min<std::int64_t>(slots, std::max<std::int64_t>(0, spec.max_per_upstream - here));
+  }
+  return slots;
+}
+
+std::vector<UpstreamState*> Scheduler::Candidates(const StepRef& ref) {
+  const QueueConfig& queue = *QueueOf(*ref.job);
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  std::vector<UpstreamState*> candidates;
+  if (!queue.policy) {
+    for (auto& [id, upstream] : m_upstreams) {
+      if (MayRunOn(spec, queue, upstream)) candidates.push_back(&upstream);
+    }
+    return candidates;
+  }
+  for (auto it = step.tickets.begin(); it != step.tickets.end();) {
+    UpstreamState* upstream = FindUpstream(it->first);
+    const bool is_valid =
+        it->second.expires > m_now && upstream != nullptr && upstream->incarnation == it->second.incarnation;
+    if (!is_valid) {
+      it = step.tickets.erase(it);
+      continue;
+    }
+    if (it->second.expires > m_now + kTicketMargin && MayRunOn(spec, queue, *upstream)) candidates.push_back(upstream);
+    ++it;
+  }
+  return candidates;
+}
+
+void Scheduler::PlaceStep(const StepRef& ref) {
+  StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  const std::vector<UpstreamState*> candidates = Candidates(ref);
+  if (spec.is_gang) {
+    if (step.waiting < spec.task_count) return;
+    if (PlaceGang(ref, candidates)) return;
+    Reserve(ref, candidates);
+  } else {
+    PlaceTasks(ref, candidates);
+  }
+  const QueueConfig& queue = *QueueOf(*ref.job);
+  if (step.waiting > 0 && queue.policy) AskPolicy(ref, queue);
+}
+
+bool Scheduler::PlaceGang(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  const Resources team_room = TeamRoom(ref.job->team);
+  const Resources& one = spec.demand;
+  const Resources all{one.cpu_millis * spec.task_count, one.memory_mb * spec.task_count,
+                      one.accelerators * spec.task_count, 0};
+  if (!all.FitsIn(team_room)) return false;
+  std::vector<std::pair<std::int64_t, UpstreamState*>> slots;
+  std::int64_t total = 0;
+  for (UpstreamState* upstream : candidates) {
+    const std::int64_t count = Slots(ref, *upstream, upstream->Free());
+    if (count > 0) slots.emplace_back(count, upstream);
+    total += count;
+  }
+  if (total < spec.task_count) return false;
+  // The fullest upstreams first, so that wide room elsewhere stays whole.
+  std::stable_sort(slots.begin(), slots.end(), [](const auto& a, const auto& b) {
+    return a.second->Free().cpu_millis < b.second->Free().cpu_millis;
+  });
+  std::size_t index = 0;
+  for (const auto& [count, upstream] : slots) {
+    for (std::int64_t i = 0; i < count && index < static_cast<std::size_t>(spec.task_count); ++i, ++index) {
+      Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, index}, upstream->listing.id);
+    }
+  }
+  return true;
+}
+
+void Scheduler::PlaceTasks(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  Resources team_room = TeamRoom(ref.job->team);
+  for (std::size_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
+    TaskState& task = step.tasks[i];
+    if (task.phase != TaskPhase::kWaiting) continue;
+    if (!spec.demand.FitsIn(team_room)) return;
+    UpstreamState* best = nullptr;
+    double best_score = std::numeric_limits<double>::max();
+    for (UpstreamState* upstream : candidates) {
+      if (Slots(ref, *upstream, upstream->Free()) < 1) continue;
+      const auto reserved = m_reserved.find(upstream->listing.id);
+      if (reserved != m_reserved.end()) continue;
+      const Resources& capacity = upstream->listing.capacity;
+      const Resources free = upstream->Free();
+      double score = static_cast<double>(free.cpu_millis) / static_cast<double>(std::max<std::int64_t>(1, capacity.cpu_millis)) +
+                     static_cast<double>(free.memory_mb) / static_cast<double>(std::max<std::int64_t>(1, capacity.memory_mb));
+      if (!spec.preferred_rack.empty() && !upstream->HasLabel(spec.preferred_rack)) score += 4;
+      if (task.failed_on == upstream->listing.id) score += 8;
+      if (score < best_score) {
+        best_score = score;
+        best = upstream;
+      }
+    }
+    if (best == nullptr) return;
+    Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, i}, best->listing.id);
+    team_room -= spec.demand;
+  }
+}
+
+void Scheduler::Reserve(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
+  if (m_reserved.size() >= candidates.size() + kMaxReservingGangs * kMinNamed) return;
+  if (ref.group > 0 || m_now - ref.job->accepted < kReservePatience) return;
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  std::vector<UpstreamState*> ordered = candidates;
+  std::stable_sort(ordered.begin(), ordered.end(),
+                   [](const auto* a, const auto* b) { return a->Free().cpu_millis > b->Free().cpu_millis; });
+  std::int64_t covered = 0;
+  for (const UpstreamState* upstream : ordered) {
+    if (covered >= spec.task_count) return;
+    covered += Slots(ref, *upstream, upstream->listing.capacity);
+    m_reserved[upstream->listing.id] = 1;
+  }
+}
+
+void Scheduler::AskPolicy(const StepRef& ref, const QueueConfig& queue) {
+  StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  if (step.open_advice_calls > 0 || m_now < step.next_advice) return;
+  const PolicyTerms& terms = *queue.policy;
+  if (!m_desk.HasRoom(static_cast<std::int64_t>(terms.call_ms), m_now)) return;
+  const double share = m_allowed_share.try_emplace(queue.id, kInitialAllowedShare).first->second;
+  double ticketed = 0;
+  std::vector<std::tuple<bool, std::int64_t, double, UpstreamState*>> open;  // has no room, free, expected slots
+  for (auto& [id, upstream] : m_upstreams) {
+    if (!MayRunOn(spec, queue, upstream)) continue;
+    const auto verdict = step.verdicts.find(id);
+    if (verdict != step.verdicts.end() && !verdict->second) continue;
+    const std::int64_t now_slots = Slots(ref, upstream, upstream.Free());
+    if (step.tickets.contains(id)) {
+      ticketed += static_cast<double>(now_slots);
+      continue;
+    }
+    const double chance = verdict != step.verdicts.end() ? 1.0 : share;
+    const std::int64_t slots = now_slots > 0 ? now_slots : Slots(ref, upstream, upstream.listing.capacity);
+    if (slots == 0) continue;
+    open.emplace_back(now_slots == 0, -upstream.Free().cpu_millis, chance * static_cast<double>(slots), &upstream);
+  }
+  if (open.empty()) return;
+  std::sort(open.begin(), open.end(), [](const auto& a, const auto& b) {
+    return std::tie(std::get<0>(a), std::get<1>(a)) < std::tie(std::get<0>(b), std::get<1>(b));
+  });
+  const double factor = spec.is_gang ? kNamedRoomFactorGang : kNamedRoomFactor;
+  const double needed = static_cast<double>(step.waiting) * factor - ticketed;
+  // Valid tickets cover the need; room frees before new ones would help.
+  if (needed <= 0) return;
+  if (std::get<0>(open.front()) && !step.tickets.empty()) return;
+  PolicyQuestion question;
+  question.job = ref.job->id;
+  question.occurrence = ref.occurrence;
+  question.step = ref.step;
+  double expected = 0;
+  for (const auto& [is_full, free, slots, upstream] : open) {
+    if (question.upstreams.size() >= kMaxNamed) break;
+    if (expected >= needed && question.upstreams.size() >= kMinNamed) break;
+    expected += slots;
+    question.upstreams.push_back(upstream->listing.id);
+  }
+  question.expected_ms = static_cast<std::int64_t>(
+      std::ceil(terms.call_ms + terms.per_upstream_ms * static_cast<double>(question.upstreams.size())));
+  const TaskKey step_key{ref.job->id, ref.occurrence, ref.step, 0};
+  const bool is_asked = m_desk.TryAsk(question, m_now, [this, step_key, named = question.upstreams](
+                                                           const PolicyAnswer& answer) {
+    OnPolicyAnswer(step_key, named, answer);
+  });
+  if (is_asked) ++step.open_advice_calls;
+}
+
+void Scheduler::OnPolicyAnswer(const TaskKey& step_key, const std::vector<UpstreamId>& named,
+                               const PolicyAnswer& answer) {
+  Job* job = FindJob(step_key.job);
+  m_needs_placing = true;
+  if (job == nullptr || FindTask(step_key) == nullptr) return;
+  StepState& step = StepOf(*job, step_key);
+  --step.open_advice_calls;
+  step.next_advice = m_now + kAskPause;
+  const QueueConfig* queue = QueueOf(*job);
+  if (!answer.is_answered || queue == nullptr || !queue->policy) return;
+  const std::int64_t valid_ms = answer.ticket_ms > 0 ? answer.ticket_ms : queue->policy->ticket_ms;
+  for (const UpstreamId& id : named) step.verdicts[id] = false;
+  for (const auto& [id, ticket] : answer.tickets) {
+    const UpstreamState* upstream = FindUpstream(id);
+    if (upstream == nullptr) continue;
+    step.verdicts[id] = true;
+    step.tickets[id] = Ticket{ticket, m_now + std::chrono::milliseconds(valid_ms), upstream->incarnation};
+  }
+  double& share = m_allowed_share[queue->id];
+  const double seen = static_cast<double>(answer.tickets.size()) / static_cast<double>(named.size());
+  share += (seen - share) * kAllowedShareWeight;
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell/scheduler_upstreams.cc
@@ -0,0 +1,332 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "cell/scheduler.h"
+#include "jobs/job_record.h"
+
+namespace jaymast {
+namespace {
+
+/// An upstream answers a sync at an end, or after this time.
+constexpr std::int64_t kSyncWaitMs = 1000;
+/// While ends wait to be stored a sync is answered at once, so it is repeated only to extend leases.
+constexpr Duration kUnstoredPause{300'000};
+/// Pause after a sync without an answer; grows with each failure up to the maximum.
+constexpr Duration kFailedPause{100'000};
+constexpr Duration kMaxFailedPause{500'000};
+/// An upstream is not given work after this time without an answer beyond the wait.
+constexpr Duration kSuspectAfter{1'600'000};
+/// A run whose progress does not change for this time hangs.
+constexpr Duration kHangBound{2'500'000};
+/// An upstream where runs of several jobs fail or hang gets no work for this time.
+constexpr Duration kQuarantine{4'000'000};
+constexpr int kFailuresToQuarantine = 2;
+
+}  // namespace
+
+UpstreamState* Scheduler::FindUpstream(const UpstreamId& id) {
+  const auto found = m_upstreams.find(id);
+  return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+void Scheduler::OnUpstreamListed(UpstreamListing listing) {
+  UpstreamState& upstream = m_upstreams[listing.id];
+  if (upstream.listing.id.empty()) {
+    upstream.token = m_epoch << 20U;
+    upstream.lapse_at = m_took_over_at + kLongestLease;
+  }
+  if (!upstream.is_listed || upstream.listing.is_draining != listing.is_draining) {
+    m_ports.events.Emit("upstream.listed", {{"upstream", listing.id.value()},
+                                            {"draining", listing.is_draining ? "true" : "false"}});
+    m_needs_placing = true;
+  }
+  upstream.is_listed = true;
+  upstream.listing = std::move(listing);
+}
+
+void Scheduler::OnUpstreamUnlisted(const UpstreamId& id) {
+  UpstreamState* upstream = FindUpstream(id);
+  if (upstream == nullptr || !upstream->is_listed) return;
+  m_ports.events.Emit("upstream.unlisted", {{"upstream", id.value()}});
+  upstream->is_listed = false;
+}
+
+void Scheduler::OnListComplete(const std::set<UpstreamId>& listed) {
+  for (auto& [id, upstream] : m_upstreams) {
+    if (upstream.is_listed && !listed.contains(id)) OnUpstreamUnlisted(id);
+  }
+}
+
+bool Scheduler::IsUsable(const UpstreamState& upstream) const {
+  return upstream.is_listed && upstream.is_adopted && !upstream.listing.is_draining &&
+         upstream.listing.incarnation == upstream.incarnation && upstream.failed_syncs == 0 &&
+          upstream.quarantined_until <= m_now &&
+         m_now - upstream.answered_at < kSuspectAfter && !m_domains_out.contains(upstream.listing.domain);
+}
+
+void Scheduler::SyncIfDue(UpstreamState& upstream) {
+  const UpstreamId id = upstream.listing.id;
+  if (!upstream.tasks.empty() && m_now >= upstream.lapse_at) LoseAll(upstream, "lease lapsed");
+  for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) {
+    TaskState* task = FindTask(key);
+    if (task == nullptr || task->phase != TaskPhase::kStopping || m_now < task->stop_due) continue;
+    task->stop_due = m_now + kStopRetry;
+    SendStop(upstream, key, task->run);
+  }
+  if (upstream.is_syncing || m_now < upstream.next_sync || upstream.listing.address.empty()) return;
+  if (!upstream.is_listed && upstream.tasks.empty()) return;
+  const bool has_unstored = !upstream.ends.empty();
+  SyncOrder order;
+  order.target = {id, upstream.listing.address, upstream.token};
+  order.acknowledged_end = upstream.acknowledged_end;
+  const bool knows_clock = upstream.is_adopted && upstream.clock_ms > 0;
+  order.lease_until_ms = knows_clock ? LeaseUntil(upstream) : 0;
+  const bool needs_answer = !upstream.is_adopted || upstream.failed_syncs > 0 || has_unstored ||
+                            upstream.sync_token != upstream.token;
+  order.wait_ms = needs_answer ? 0 : kSyncWaitMs;
+  upstream.is_syncing = true;
+  upstream.sync_sent_at = m_now;
+  upstream.sync_token = upstream.token;
+  m_ports.upstreams.Sync(order, [this, id, number = ++upstream.sync_number](const SyncReply& reply) {
+    OnSyncReply(id, number, reply);
+  });
+}
+
+void Scheduler::OnSyncReply(const UpstreamId& id, std::uint64_t number, const SyncReply& reply) {
+  UpstreamState* found = FindUpstream(id);
+  if (found == nullptr || found->sync_number != number) return;
+  UpstreamState& upstream = *found;
+  upstream.is_syncing = false;
+  if (reply.status != OrderStatus::kAccepted) {
+    ++upstream.failed_syncs;
+    if (upstream.failed_syncs == 3) {
+      m_ports.events.Emit("upstream.silent", {{"upstream", id.value()}, {"reason", std::string(ToString(reply.status))}});
+    }
+    const Duration pause = std::min(kMaxFailedPause, kFailedPause * upstream.failed_syncs);
+    upstream.next_sync = m_now + pause;
+    if (reply.status == OrderStatus::kOtherIncarnation && !upstream.tasks.empty()) {
+      LoseAll(upstream, "another upstream has its address");
+    }
+    return;
+  }
+  upstream.failed_syncs = 0;
+  const bool was_adopted = upstream.is_adopted;
+  const bool is_new_life = upstream.incarnation != reply.incarnation && upstream.incarnation != 0;
+  upstream.answered_at = m_now;
+  upstream.clock_ms = reply.clock_ms;
+  upstream.clock_at = m_now;
+  upstream.incarnation = reply.incarnation;
+  if (is_new_life) {
+    m_ports.events.Emit("upstream.restarted", {{"upstream", id.value()}});
+    upstream.ends.clear();
+    upstream.acknowledged_end = 0;
+    // An order for the earlier life may still arrive, so its room is free only after a fence.
+    Fence(upstream, upstream.token);
+    upstream.is_adopted = false;
+    return;
+  }
+  if (upstream.sync_token != upstream.token) {
+    upstream.next_sync = m_now;
+    return;
+  }
+  upstream.is_adopted = true;
+  std::set<TaskKey> seen;
+  for (const EndRow& row : reply.ended) {
+    seen.insert(row.task);
+    if (row.number <= upstream.acknowledged_end || upstream.ends.contains(row.number)) continue;
+    OnEnd(upstream, row);
+  }
+  for (const RunningRow& row : reply.running) {
+    seen.insert(row.task);
+    OnRunning(upstream, row);
+  }
+  if (!reply.has_more_ends) LoseMissing(upstream, seen);
+  CheckProgress(upstream);
+  AcknowledgeEnds(upstream);
+  upstream.next_sync = upstream.ends.empty() ? m_now : m_now + kUnstoredPause;
+  if (!was_adopted) m_needs_placing = true;
+}
+
+void Scheduler::OnRunning(UpstreamState& upstream, const RunningRow& row) {
+  TaskState* task = FindTask(row.task);
+  Job* job = FindJob(row.task.job);
+  const bool is_ours = task != nullptr && task->run == row.run && task->upstream == upstream.listing.id &&
+                       HoldsRoom(task->phase);
+  if (!is_ours) {
+    m_ports.events.Emit("run.unknown", {{"task", FormatTaskKey(row.task)}, {"upstream", upstream.listing.id.value()}});
+    SendStop(upstream, row.task, row.run);
+    return;
+  }
+  if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
+  if (task->percent != row.percent) {
+    task->percent = row.percent;
+    task->progressed_at = m_now;
+  }
+  if (task->phase == TaskPhase::kStopping) return;
+  if (IsFinal(job->state)) {
+    task->phase = TaskPhase::kRunning;
+    return StopTask(*job, row.task, *task, "job ended");
+  }
+  if (task->phase != TaskPhase::kRunning) {
+    task->phase = TaskPhase::kRunning;
+    task->confirmed_at = m_now;
+    task->progressed_at = m_now;
+  }
+  if (!job->has_started) {
+    job->has_started = true;
+    job->state = JobState::kRunning;
+    Mark(*job);
+  }
+}
+
+void Scheduler::OnEnd(UpstreamState& upstream, const EndRow& row) {
+  Job* job = FindJob(row.task.job);
+  TaskState* task = FindTask(row.task);
+  if (job == nullptr || task == nullptr) {
+    upstream.ends[row.number] = true;
+    return;
+  }
+  const StepSpec& spec = job->spec.steps[row.task.step];
+  StepState& step = StepOf(*job, row.task);
+  const bool is_current =
+      task->run == row.run && task->upstream == upstream.listing.id && HoldsRoom(task->phase);
+  if (!is_current) {
+    const bool counts = row.kind == EndKind::kDone && task->run == row.run && task->phase == TaskPhase::kWaiting &&
+                        !spec.is_gang && !IsFinal(job->state);
+    if (!counts) {
+      upstream.ends[row.number] = true;
+      return;
+    }
+  }
+  upstream.ends[row.number] = false;
+  if (is_current) Release(*job, row.task, *task);
+  if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
+  job->has_started = true;
+  if (row.kind == EndKind::kDone) {
+    upstream.consecutive_failures = 0;
+    if (spec.is_gang && !step.is_gang_done) {
+      step.is_gang_done = true;
+      for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        TaskState& member = step.tasks[i];
+        const TaskKey key{row.task.job, row.task.occurrence, row.task.step, i};
+        if (member.phase == TaskPhase::kWaiting) FinishTask(*job, key, member);
+      }
+    }
+    FinishTask(*job, row.task, *task);
+  } else if (spec.is_gang && step.is_gang_done) {
+    FinishTask(*job, row.task, *task);
+  } else if (row.kind == EndKind::kFailed) {
+    OnFailedRun(*job, row.task, *task, upstream);
+  }
+  if (spec.is_gang && !step.is_gang_done) StopUnconfirmedMembers(*job, row.task);
+  if (row.kind != EndKind::kDone) {
+    m_ports.events.Emit("run.ended", {{"task", FormatTaskKey(row.task)},
+                                      {"run", std::to_string(row.run)},
+                                      {"upstream", upstream.listing.id.value()},
+                                      {"how", std::string(ToString(row.kind))}});
+  }
+  Mark(*job);
+  WhenCommitted(*job, [this, id = upstream.listing.id, number = row.number, life = upstream.incarnation] {
+    UpstreamState* state = FindUpstream(id);
+    if (state == nullptr || state->incarnation != life) return;
+    const auto end = state->ends.find(number);
+    if (end != state->ends.end()) end->second = true;
+    AcknowledgeEnds(*state);
+  });
+}
+
+void Scheduler::OnFailedRun(Job& job, const TaskKey& key, TaskState& task, UpstreamState& upstream) {
+  task.failed_on = upstream.listing.id;
+  if (upstream.last_failed_job != job.id.value()) {
+    upstream.last_failed_job = job.id.value();
+    ++upstream.consecutive_failures;
+  }
+  if (upstream.consecutive_failures >= kFailuresToQuarantine) {
+    m_ports.events.Emit("upstream.quarantined", {{"upstream", upstream.listing.id.value()}, {"reason", "failures"}});
+    upstream.quarantined_until = m_now + kQuarantine;
+  }
+  if (IsFinal(job.state)) return;
+  const StepSpec& spec = job.spec.steps[key.step];
+  StepState& step = StepOf(job, key);
+  TaskState& counted = spec.is_gang ? step.tasks.front() : task;
+  if (spec.is_gang) {
+    if (step.gang_failed >= task.run) return;
+    step.gang_failed = task.run;
+  }
+  ++counted.failures;
+  const QueueConfig* queue = QueueOf(job);
+  const std::int64_t max_attempts = queue == nullptr ? 1 : queue->max_attempts;
+  if (!spec.is_long_running && counted.failures >= max_attempts) EndJob(job, JobState::kFailed);
+}
+
+void Scheduler::AcknowledgeEnds(UpstreamState& upstream) {
+  bool is_advanced = false;
+  while (!upstream.ends.empty() && upstream.ends.begin()->second) {
+    upstream.acknowledged_end = upstream.ends.begin()->first;
+    upstream.ends.erase(upstream.ends.begin());
+    is_advanced = true;
+  }
+  if (is_advanced && upstream.ends.empty()) upstream.next_sync = std::min(upstream.next_sync, m_now);
+}
+
+void Scheduler::LoseMissing(UpstreamState& upstream, const std::set<TaskKey>& seen) {
+  std::vector<TaskKey> lost;
+  for (const TaskKey& key : upstream.tasks) {
+    const TaskState* task = FindTask(key);
+    if (task == nullptr || seen.contains(key) || task->phase == TaskPhase::kAssigned) continue;
+    // The list is complete for what was acknowledged before it was asked for, and for what the fence keeps out.
+    const bool is_fenced = task->token < upstream.sync_token;
+    const bool is_older = task->confirmed_at < upstream.sync_sent_at;
+    if (is_fenced || is_older) lost.push_back(key);
+  }
+  for (const TaskKey& key : lost) LoseTask(key, "not in the list of its upstream");
+}
+
+void Scheduler::LoseAll(UpstreamState& upstream, std::string_view reason) {
+  for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) LoseTask(key, reason);
+}
+
+void Scheduler::LoseTask(const TaskKey& key, std::string_view reason) {
+  Job* job = FindJob(key.job);
+  TaskState* task = FindTask(key);
+  if (job == nullptr || task == nullptr || !HoldsRoom(task->phase)) return;
+  m_ports.events.Emit("task.lost", {{"task", FormatTaskKey(key)},
+                                    {"run", std::to_string(task->run)},
+                                    {"upstream", task->upstream.value()},
+                                    {"reason", std::string(reason)}});
+  const bool is_gang = job->spec.steps[key.step].is_gang;
+  Release(*job, key, *task);
+  StepState& step = StepOf(*job, key);
+  if (is_gang && step.is_gang_done) {
+    FinishTask(*job, key, *task);
+  } else if (is_gang) {
+    AbortGang(*job, key, "member was lost");
+  }
+  Mark(*job);
+}
+
+void Scheduler::CheckProgress(UpstreamState& upstream) {
+  for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) {
+    TaskState* task = FindTask(key);
+    if (task == nullptr || task->phase != TaskPhase::kRunning || m_now - task->progressed_at < kHangBound) continue;
+    Job& job = *FindJob(key.job);
+    if (job.spec.steps[key.step].is_long_running) continue;
+    StepState& step = StepOf(job, key);
+    if (job.spec.steps[key.step].is_gang) {
+      const bool is_complete = std::all_of(step.tasks.begin(), step.tasks.end(), [](const TaskState& member) {
+        return member.phase == TaskPhase::kRunning;
+      });
+      if (!is_complete) continue;
+      // Which member hangs is not known.
+      AbortGang(job, key, "gang makes no progress");
+      continue;
+    }
+    upstream.quarantined_until = m_now + kQuarantine;
+    m_ports.events.Emit("upstream.quarantined", {{"upstream", upstream.listing.id.value()}, {"reason", "no progress"}});
+    StopTask(job, key, *task, "no progress");
+  }
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/instance/cell_instance.cc
@@ -0,0 +1,265 @@
+#include "instance/cell_instance.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/http_status.h"
+#include "instance/peer_codec.h"
+
+namespace jaymast {
+namespace {
+
+/// The leader shows its progress to each follower this often.
+constexpr Duration kBeatPause{250'000};
+constexpr Duration kBeatTime{500'000};
+/// A follower that has not heard of its leader for this time announces itself again.
+constexpr Duration kHelloPause{300'000};
+/// A follower that did not answer for this time makes no policy calls.
+constexpr Duration kFollowerSilence{1'200'000};
+/// An instance that has not heard of a leader for this time sends its clients elsewhere.
+constexpr Duration kReadySilence{1'500'000};
+/// A client's call is answered at the latest after this time, unless the client tells how long it waits.
+constexpr std::int64_t kDefaultPatienceMs = 3000;
+/// The answer must reach the client before it gives up.
+constexpr std::int64_t kAnswerMarginMs = 120;
+/// Calls of an ended term have deadlines below this time.
+constexpr Duration kEndedTermLife{12'000'000};
+/// Time beyond the expected one that a policy call of another instance may take.
+constexpr std::int64_t kPolicyMarginMs = 600;
+constexpr const char* kBeatPath = "/peer/beat";
+constexpr const char* kHelloPath = "/peer/hello";
+constexpr const char* kAdvisePath = "/peer/advise";
+constexpr const char* kRelayedHeader = "Jaymast-Relayed-Host";
+constexpr const char* kUndecidedHeader = "Jaymast-Undecided";
+
+HttpRequest PeerMessage(const char* path, std::string body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = path;
+  request.body = std::move(body);
+  return request;
+}
+
+}  // namespace
+
+/// Routes the leader's policy calls to this instance or to another one.
+class CellInstance::PeerPolicy : public PolicyPort {
+ public:
+  explicit PeerPolicy(CellInstance& instance) : m_instance(instance) {}
+  void Ask(const std::string& agent, const PolicyQuestion& question, std::function<void(PolicyAnswer)> done) override {
+    m_instance.Ask(agent, question, std::move(done));
+  }
+
+ private:
+  CellInstance& m_instance;
+};
+
+CellInstance::CellInstance(Ports ports, std::string address, std::uint64_t rank, Time now)
+    : m_ports(std::move(ports)),
+      m_address(std::move(address)),
+      m_now(now),
+      m_started_at(now),
+      m_relay({[this](const std::string& leader, const HttpRequest& request, Time deadline,
+                      std::function<void(Relay::Attempt)> done) { SendToLeader(leader, request, deadline, done); },
+               [this](bool may_have_run) { return m_ports.codec.GiveUp(may_have_run); }}),
+      m_leadership(m_ports.store, m_address, rank,
+                   [this](const LeaderRecord& record, std::int64_t version) { BeginTerm(record, version); }),
+      m_peer_policy(std::make_unique<PeerPolicy>(*this)) {}
+
+CellInstance::~CellInstance() = default;
+
+void CellInstance::OnTick(Time now, std::int64_t unix_now_ms) {
+  m_now = now;
+  m_unix_now_ms = unix_now_ms;
+  m_leadership.OnTick(now);
+  if (m_term != nullptr) {
+    m_term->OnTick(now, unix_now_ms);
+    if (m_term->journal().is_handed_over()) EndTerm("handed over");
+  }
+  if (m_is_deposed) EndTerm("another instance took over");
+  if (m_term != nullptr) {
+    if (now >= m_next_beat) SendBeats();
+    m_relay.SetLeader(true, "", m_term->journal().epoch(), now);
+    m_leader_heard_at = now;
+  } else {
+    const std::string& leader = m_leadership.leader_address();
+    const bool is_known = !leader.empty() && leader != m_address;
+    m_relay.SetLeader(is_known && now - m_leader_heard_at < kReadySilence, leader, m_leadership.leader_epoch(), now);
+    if (is_known && now >= m_next_hello && now - m_leader_heard_at > kHelloPause) SendHello();
+  }
+  m_relay.OnTick(now);
+  std::erase_if(m_ended_terms, [now](const auto& entry) { return now - entry.first > kEndedTermLife; });
+}
+
+void CellInstance::BeginTerm(const LeaderRecord& record, std::int64_t version) {
+  m_ports.events.Emit("term.begun", {{"epoch", std::to_string(record.epoch)}});
+  m_is_deposed = false;
+  m_followers.clear();
+  m_term = std::make_unique<CellTerm>(
+      m_ports.store, Scheduler::Ports{m_ports.upstreams, *m_peer_policy, m_ports.events}, record, version, m_now,
+      m_ports.make_feeds, m_ports.request_tick, [this] { m_is_deposed = true; });
+  UpdateAgents();
+  if (m_is_stopping) m_term->HandOver("");
+  m_ports.request_tick();
+}
+
+void CellInstance::EndTerm(std::string_view reason) {
+  m_is_deposed = false;
+  if (m_term == nullptr) return;
+  m_ports.events.Emit("term.ended",
+                      {{"epoch", std::to_string(m_term->journal().epoch())}, {"reason", std::string(reason)}});
+  const bool is_handed_over = m_term->journal().is_handed_over();
+  m_ended_terms.emplace_back(m_now, std::move(m_term));
+  m_leadership.OnDeposed(m_now);
+  m_relay.SetLeader(false, "", 0, m_now);
+  if (!is_handed_over || m_successor.empty()) return;
+  m_ports.send_peer(m_successor, PeerMessage(kBeatPath, EncodeBeat({"", 0, 0})), m_now + kBeatTime, [](PeerResult) {});
+}
+
+void CellInstance::OnClientRequest(HttpRequest request, std::function<void(HttpResponse)> done) {
+  const std::int64_t told_ms = m_ports.codec.PatienceMs(request);
+  const std::int64_t patience_ms = told_ms > 0 ? told_ms : kDefaultPatienceMs;
+  const Time deadline = m_now + std::chrono::milliseconds(std::max<std::int64_t>(1, patience_ms - kAnswerMarginMs));
+  m_relay.OnCall(std::move(request), m_now, deadline, std::move(done));
+}
+
+void CellInstance::SendToLeader(const std::string& address, const HttpRequest& request, Time deadline,
+                                const std::function<void(Relay::Attempt)>& done) {
+  if (address.empty()) {
+    return AnswerClient(request, [done](HttpResponse response, bool is_undecided) {
+      done({true, true, is_undecided, std::move(response)});
+    });
+  }
+  HttpRequest relayed = request;
+  std::erase_if(relayed.headers, [](const auto& header) { return header.first == "Connection"; });
+  relayed.headers.emplace_back(kRelayedHeader, std::string(FindHeader(request.headers, "Host")));
+  m_ports.send_peer(address, std::move(relayed), deadline, [done](PeerResult result) {
+    const bool is_undecided = result.is_answered && !FindHeader(result.response.headers, kUndecidedHeader).empty();
+    done({result.is_answered, result.was_sent, is_undecided, std::move(result.response)});
+  });
+}
+
+void CellInstance::AnswerClient(const HttpRequest& request,
+                                const std::function<void(HttpResponse, bool is_undecided)>& done) {
+  if (m_term == nullptr) return done(m_ports.codec.GiveUp(false), true);
+  const ClientCall call = m_ports.codec.Decode(request);
+  m_term->OnClientCall(call, [this, call, done](const ClientReply& reply) {
+    done(m_ports.codec.Encode(call, reply), reply.outcome == ClientOutcome::kNotLeader);
+  });
+}
+
+void CellInstance::OnPeerRequest(HttpRequest request, std::function<void(HttpResponse)> done) {
+  const std::string_view relayed_host = FindHeader(request.headers, kRelayedHeader);
+  if (!relayed_host.empty()) {
+    for (auto& [name, value] : request.headers) {
+      if (name == "Host") value = std::string(relayed_host);
+    }
+    return AnswerClient(request, [done](HttpResponse response, bool is_undecided) {
+      if (is_undecided) response.headers.emplace_back(kUndecidedHeader, "1");
+      done(std::move(response));
+    });
+  }
+  if (request.target == kBeatPath) {
+    const std::optional<Beat> beat = DecodeBeat(request.body);
+    if (beat && beat->leader.empty()) {
+      m_leadership.ReadSoon();
+      m_ports.request_tick();
+    } else if (beat && m_term == nullptr && beat->epoch >= m_leadership.leader_epoch()) {
+      m_leader_heard_at = m_now;
+      m_leadership.OnLeaderProgress(beat->leader, beat->epoch, beat->sequence, m_now);
+    }
+    return done({kStatusNoContent, {}, ""});
+  }
+  if (request.target == kHelloPath) {
+    const std::optional<std::string> follower = DecodeHello(request.body);
+    if (m_term == nullptr || !follower) return done({kStatusConflict, {}, ""});
+    Follower& entry = m_followers[*follower];
+    if (entry.joined_at == Time{}) entry.joined_at = m_now;
+    entry.heard_at = m_now;
+    UpdateAgents();
+    return done({kStatusOk, {}, EncodeBeat({m_address, m_term->journal().epoch(), m_term->journal().sequence()})});
+  }
+  if (request.target == kAdvisePath) {
+    const std::optional<PolicyQuestion> question = DecodeQuestion(request.body);
+    if (!question) return done({kStatusBadRequest, {}, ""});
+    return m_ports.policy.Ask("", *question, [done](const PolicyAnswer& answer) {
+      done({answer.is_answered ? kStatusOk : kStatusUnavailable, {}, EncodeAnswer(answer)});
+    });
+  }
+  done({kStatusNotFound, {}, ""});
+}
+
+void CellInstance::Ask(const std::string& agent, const PolicyQuestion& question,
+                       std::function<void(PolicyAnswer)> done) {
+  if (agent.empty()) return m_ports.policy.Ask("", question, std::move(done));
+  const Time deadline = m_now + std::chrono::milliseconds(question.expected_ms + kPolicyMarginMs);
+  m_ports.send_peer(agent, PeerMessage(kAdvisePath, EncodeQuestion(question)), deadline,
+                    [done = std::move(done)](const PeerResult& result) {
+                      const bool is_ok = result.is_answered && result.response.status == kStatusOk;
+                      done(is_ok ? DecodeAnswer(result.response.body).value_or(PolicyAnswer{}) : PolicyAnswer{});
+                    });
+}
+
+void CellInstance::SendBeats() {
+  m_next_beat = m_now + kBeatPause;
+  const std::string body = EncodeBeat({m_address, m_term->journal().epoch(), m_term->journal().sequence()});
+  const auto silent = std::erase_if(m_followers, [this](const auto& entry) {
+    return m_now - entry.second.heard_at > kFollowerSilence;
+  });
+  if (silent > 0) UpdateAgents();
+  for (auto& [address, follower] : m_followers) {
+    if (follower.is_beat_open) continue;
+    follower.is_beat_open = true;
+    m_ports.send_peer(address, PeerMessage(kBeatPath, body), m_now + kBeatTime,
+                      [this, address = address](const PeerResult& result) {
+                        const auto found = m_followers.find(address);
+                        if (found == m_followers.end()) return;
+                        found->second.is_beat_open = false;
+                        if (result.is_answered) found->second.heard_at = m_now;
+                      });
+  }
+}
+
+void CellInstance::SendHello() {
+  m_next_hello = m_now + kHelloPause;
+  m_ports.send_peer(m_leadership.leader_address(), PeerMessage(kHelloPath, EncodeHello(m_address)), m_now + kBeatTime,
+                    [this](const PeerResult& result) {
+                      if (!result.is_answered || result.response.status != kStatusOk || m_term != nullptr) return;
+                      const std::optional<Beat> beat = DecodeBeat(result.response.body);
+                      if (!beat || beat->epoch < m_leadership.leader_epoch()) return;
+                      m_leader_heard_at = m_now;
+                      m_leadership.OnLeaderProgress(beat->leader, beat->epoch, beat->sequence, m_now);
+                    });
+}
+
+void CellInstance::UpdateAgents() {
+  if (m_term == nullptr) return;
+  std::vector<std::string> agents = {""};
+  for (const auto& [address, follower] : m_followers) agents.push_back(address);
+  m_term->SetAgents(agents);
+}
+
+void CellInstance::BeginStop() {
+  if (m_is_stopping) return;
+  m_is_stopping = true;
+  m_leadership.Retire();
+  m_ports.events.Emit("instance.stopping", {{"open_calls", std::to_string(m_relay.open_calls())}});
+  if (m_term == nullptr) return;
+  // The follower that joined last is the least likely to be restarted next in a rolling restart.
+  Time newest{};
+  for (const auto& [address, follower] : m_followers) {
+    if (follower.joined_at < newest) continue;
+    newest = follower.joined_at;
+    m_successor = address;
+  }
+  m_term->HandOver(m_successor);
+  m_ports.request_tick();
+}
+
+bool CellInstance::is_ready() const {
+  return !m_is_stopping && (m_term != nullptr || m_now - m_leader_heard_at < kReadySilence);
+}
+
+bool CellInstance::has_left() const { return m_is_stopping && m_term == nullptr; }
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/instance/cell_term.cc
@@ -0,0 +1,123 @@
+#include "instance/cell_term.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jobs/job_record.h"
+
+namespace jaymast {
+namespace {
+
+constexpr const char* kJobTable = "jobs";
+constexpr const char* kProgressTable = "progress";
+/// Pause before a failed read of the recorded jobs is repeated.
+constexpr Duration kLoadRetryPause{50'000};
+/// An outage of the store above this time turns new jobs away at once.
+constexpr Duration kStallBound{350'000};
+
+}  // namespace
+
+CellTerm::CellTerm(StateStore& store, Scheduler::Ports ports, const LeaderRecord& record, std::int64_t version,
+                   Time now, const MakeFeeds& make_feeds, std::function<void()> request_tick,
+                   std::function<void()> deposed)
+    : m_store(store),
+      m_events(ports.events),
+      m_request_tick(std::move(request_tick)),
+      m_now(now),
+      m_scheduler(ports, record.epoch, now,
+                  [this] {
+                    m_journal.MarkDirty();
+                    m_request_tick();
+                  }),
+      m_journal(
+          store, record, version, [this] { return m_is_loaded ? m_scheduler.Collect() : JournalBatch{}; },
+          std::move(deposed)),
+      m_feeds(make_feeds(*this)),
+      m_load_table(kJobTable) {}
+
+void CellTerm::OnTick(Time now, std::int64_t unix_now_ms) {
+  m_now = now;
+  m_journal.OnTick(now);
+  if (!m_are_jobs_loaded && !m_is_reading && now >= m_next_load) Load(m_load_table, m_load_from);
+  m_feeds->OnTick(now);
+  m_scheduler.SetStanding({m_journal.confirmed_at(), m_journal.IsStalled(now, kStallBound),
+                           m_journal.store_now_ms(now), unix_now_ms});
+  if (!m_is_loaded) return;
+  m_scheduler.OnTick(now);
+  m_journal.OnTick(now);
+}
+
+void CellTerm::OnClientCall(ClientCall call, ClientReplyFunction reply) {
+  if (!m_is_loaded) return reply({ClientOutcome::kNotLeader});
+  m_scheduler.OnClientCall(std::move(call), std::move(reply));
+}
+
+void CellTerm::OnConfig(std::shared_ptr<const CellConfig> config) {
+  m_scheduler.OnConfig(std::move(config));
+  m_has_config = true;
+  CheckLoaded();
+}
+
+void CellTerm::OnListComplete(const std::set<UpstreamId>& listed) {
+  m_scheduler.OnListComplete(listed);
+  m_has_list = true;
+  CheckLoaded();
+}
+
+void CellTerm::Load(const std::string& table, const std::string& from) {
+  m_is_reading = true;
+  m_store.Scan(table, from, "", [this, table](const StateScanReply& reply) { OnPage(table, reply); });
+}
+
+void CellTerm::OnPage(const std::string& table, const StateScanReply& reply) {
+  m_is_reading = false;
+  if (!reply.is_available) {
+    m_next_load = m_now + kLoadRetryPause;
+    return;
+  }
+  for (const StateRow& row : reply.rows) OnRow(row, reply.now_ms);
+  if (reply.has_more && !reply.rows.empty()) {
+    // The smallest key above the last one.
+    m_load_from = reply.rows.back().key + '\x01';
+    return m_request_tick();
+  }
+  m_load_from.clear();
+  if (table == kJobTable) {
+    m_load_table = kProgressTable;
+    return m_request_tick();
+  }
+  FinishJobs();
+}
+
+void CellTerm::OnRow(const StateRow& row, std::int64_t store_now_ms) {
+  const JobId id(row.key);
+  if (row.table == kJobTable) {
+    Result<Job> job = DecodeJobRecord(id, row.value);
+    if (!job) return m_events.Emit("record.unreadable", {{"path", job.error().path}, {"reason", job.error().reason}});
+    const std::int64_t age_ms = std::max<std::int64_t>(0, store_now_ms - job->recorded_at_ms);
+    m_loading[id] = {std::move(*job), age_ms};
+    return;
+  }
+  const auto found = m_loading.find(id);
+  if (found == m_loading.end() || !ApplyProgressRecord(row.value, found->second.first)) {
+    m_events.Emit("record.unreadable", {{"path", "progress/" + row.key}});
+  }
+}
+
+void CellTerm::FinishJobs() {
+  for (auto& [id, entry] : m_loading) m_scheduler.AddRecordedJob(std::move(entry.first), entry.second);
+  m_events.Emit("term.jobs_loaded", {{"jobs", std::to_string(m_loading.size())}});
+  m_loading.clear();
+  m_scheduler.FinishLoading();
+  m_are_jobs_loaded = true;
+  CheckLoaded();
+}
+
+void CellTerm::CheckLoaded() {
+  if (m_is_loaded || !m_are_jobs_loaded || !m_has_config || !m_has_list) return;
+  m_is_loaded = true;
+  m_events.Emit("term.ready", {{"epoch", std::to_string(m_journal.epoch())}});
+  m_request_tick();
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/instance/cell_term.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "cell/cell_feeds.h"
+#include "cell/journal.h"
+#include "cell/scheduler.h"
+#include "cell/state_store.h"
+
+namespace jaymast {
+
+/// One period during which this instance is the leader: loads the recorded jobs, then schedules.
+class CellTerm : public FeedListener {
+ public:
+  using MakeFeeds = std::function<std::unique_ptr<CellFeeds>(FeedListener&)>;
+
+  CellTerm(StateStore& store, Scheduler::Ports ports, const LeaderRecord& record, std::int64_t version, Time now,
+           const MakeFeeds& make_feeds, std::function<void()> request_tick, std::function<void()> deposed);
+
+  void OnTick(Time now, std::int64_t unix_now_ms);
+  void OnClientCall(ClientCall call, ClientReplyFunction reply);
+  void SetAgents(const std::vector<std::string>& addresses) { m_scheduler.SetAgents(addresses); }
+  /// Ends the term after everything accepted so far is in the store.
+  void HandOver(const std::string& successor) { m_journal.HandOver(successor); }
+
+  const Journal& journal() const { return m_journal; }
+  const Scheduler& scheduler() const { return m_scheduler; }
+  bool is_loaded() const { return m_is_loaded; }
+
+  // FeedListener
+  void OnConfig(std::shared_ptr<const CellConfig> config) override;
+  void OnConfigCurrent(Time as_of) override { m_scheduler.OnConfigCurrent(as_of); }
+  void OnDomainsOut(std::set<DomainId> domains) override { m_scheduler.OnDomainsOut(std::move(domains)); }
+  void OnUpstreamListed(UpstreamListing listing) override { m_scheduler.OnUpstreamListed(std::move(listing)); }
+  void OnUpstreamUnlisted(const UpstreamId& id) override { m_scheduler.OnUpstreamUnlisted(id); }
+  void OnListComplete(const std::set<UpstreamId>& listed) override;
+
+ private:
+  void Load(const std::string& table, const std::string& from);
+  void OnPage(const std::string& table, const StateScanReply& reply);
+  void OnRow(const StateRow& row, std::int64_t store_now_ms);
+  void FinishJobs();
+  void CheckLoaded();
+
+  StateStore& m_store;
+  CellEventSink& m_events;
+  const std::function<void()> m_request_tick;
+  Time m_now;
+  Scheduler m_scheduler;
+  Journal m_journal;
+  std::unique_ptr<CellFeeds> m_feeds;
+  std::map<JobId, std::pair<Job, std::int64_t>> m_loading;  ///< recorded jobs with their age in ms
+  std::string m_load_table;
+  std::string m_load_from;
+  Time m_next_load{};
+  bool m_is_reading = false;
+  bool m_are_jobs_loaded = false;
+  bool m_has_config = false;
+  bool m_has_list = false;
+  bool m_is_loaded = false;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/instance/peer_codec.cc
@@ -0,0 +1,112 @@
+#include "instance/peer_codec.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/system/error_code.hpp>
+#include <limits>
+
+#include "base/field_reader.h"
+
+namespace jaymast {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t kMaxTextBytes = 4096;
+constexpr std::int64_t kMaxInt = std::numeric_limits<std::int64_t>::max();
+
+std::optional<json::object> ParseObject(std::string_view text) {
+  boost::system::error_code ec;
+  json::value value = json::parse(text, ec);
+  if (ec || !value.is_object()) return std::nullopt;
+  return std::move(value.get_object());
+}
+
+}  // namespace
+
+std::string EncodeBeat(const Beat& beat) {
+  return json::serialize(json::object{{"leader", beat.leader}, {"epoch", beat.epoch}, {"sequence", beat.sequence}});
+}
+
+std::optional<Beat> DecodeBeat(std::string_view text) {
+  const std::optional<json::object> object = ParseObject(text);
+  if (!object) return std::nullopt;
+  FieldReader reader(*object, "beat");
+  Beat beat;
+  beat.leader = reader.String("leader", "", kMaxTextBytes);
+  beat.epoch = static_cast<std::uint64_t>(reader.Int("epoch", 0, 0, kMaxInt));
+  beat.sequence = static_cast<std::uint64_t>(reader.Int("sequence", 0, 0, kMaxInt));
+  if (reader.error()) return std::nullopt;
+  return beat;
+}
+
+std::string EncodeHello(const std::string& address) { return json::serialize(json::object{{"address", address}}); }
+
+std::optional<std::string> DecodeHello(std::string_view text) {
+  const std::optional<json::object> object = ParseObject(text);
+  if (!object) return std::nullopt;
+  FieldReader reader(*object, "hello");
+  std::string address = reader.RequiredString("address", kMaxTextBytes);
+  if (reader.error()) return std::nullopt;
+  return address;
+}
+
+std::string EncodeQuestion(const PolicyQuestion& question) {
+  json::array upstreams;
+  for (const UpstreamId& id : question.upstreams) upstreams.emplace_back(id.value());
+  return json::serialize(json::object{{"job", question.job.value()},
+                                      {"occurrence", question.occurrence},
+                                      {"step", question.step},
+                                      {"expected_ms", question.expected_ms},
+                                      {"upstreams", std::move(upstreams)}});
+}
+
+std::optional<PolicyQuestion> DecodeQuestion(std::string_view text) {
+  const std::optional<json::object> object = ParseObject(text);
+  if (!object) return std::nullopt;
+  FieldReader reader(*object, "question");
+  PolicyQuestion question;
+  question.job = JobId(reader.RequiredString("job", kMaxTextBytes));
+  question.occurrence = static_cast<std::size_t>(reader.Int("occurrence", 0, 0, kMaxInt));
+  question.step = static_cast<std::size_t>(reader.Int("step", 0, 0, kMaxInt));
+  question.expected_ms = reader.Int("expected_ms", 0, 0, kMaxInt);
+  if (const json::array* upstreams = reader.Array("upstreams")) {
+    for (const json::value& id : *upstreams) {
+      if (!id.is_string()) return std::nullopt;
+      question.upstreams.emplace_back(std::string(id.get_string()));
+    }
+  }
+  if (reader.error()) return std::nullopt;
+  return question;
+}
+
+std::string EncodeAnswer(const PolicyAnswer& answer) {
+  json::array tickets;
+  for (const auto& [id, ticket] : answer.tickets) tickets.push_back(json::array{id.value(), ticket});
+  return json::serialize(json::object{
+      {"answered", answer.is_answered}, {"ticket_ms", answer.ticket_ms}, {"tickets", std::move(tickets)}});
+}
+
+std::optional<PolicyAnswer> DecodeAnswer(std::string_view text) {
+  const std::optional<json::object> object = ParseObject(text);
+  if (!object) return std::nullopt;
+  FieldReader reader(*object, "answer");
+  PolicyAnswer answer;
+  answer.is_answered = reader.Bool("answered", false);
+  answer.ticket_ms = reader.Int("ticket_ms", 0, 0, kMaxInt);
+  if (const json::array* tickets = reader.Array("tickets")) {
+    for (const json::value& row : *tickets) {
+      const bool is_pair = row.is_array() && row.get_array().size() == 2 && row.get_array()[0].is_string() &&
+                           row.get_array()[1].is_string();
+      if (!is_pair) return std::nullopt;
+      answer.tickets.emplace_back(UpstreamId(std::string(row.get_array()[0].get_string())),
+                                  std::string(row.get_array()[1].get_string()));
+    }
+  }
+  if (reader.error()) return std::nullopt;
+  return answer;
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/instance/relay.cc
@@ -0,0 +1,77 @@
+#include "instance/relay.h"
+
+#include <utility>
+#include <vector>
+
+namespace jaymast {
+namespace {
+
+/// Pause before a call is sent again to the same leader.
+constexpr Duration kRetryPause{80'000};
+/// An attempt without an answer is repeated on another connection after this time: a connection may be silent for good.
+constexpr Duration kAttemptTime{1'300'000};
+/// Without a leader for this time, calls are refused at once: this instance is cut off.
+constexpr Duration kLeaderPatience{1'800'000};
+
+}  // namespace
+
+void Relay::OnCall(HttpRequest request, Time now, Time deadline, std::function<void(HttpResponse)> done) {
+  m_now = now;
+  auto call = std::make_shared<Call>();
+  call->request = std::move(request);
+  call->done = std::move(done);
+  call->deadline = deadline;
+  m_calls.insert(call);
+  if (m_is_known) return Try(call, now);
+  if (now - m_known_at > kLeaderPatience) Finish(call, m_ports.give_up(false));
+}
+
+void Relay::SetLeader(bool is_known, const std::string& address, std::uint64_t epoch, Time now) {
+  m_now = now;
+  if (is_known) m_known_at = now;
+  if (is_known == m_is_known && address == m_address && epoch == m_epoch) return;
+  m_is_known = is_known;
+  m_address = address;
+  m_epoch = epoch;
+  if (!is_known) return;
+  const std::vector<CallPtr> calls(m_calls.begin(), m_calls.end());
+  for (const CallPtr& call : calls) Try(call, now);
+}
+
+void Relay::Try(const CallPtr& call, Time now) {
+  if (call->is_done) return;
+  call->is_open = true;
+  call->attempt_deadline = std::min(call->deadline, now + kAttemptTime);
+  const std::uint64_t attempt = ++call->attempt;
+  m_ports.send(m_address, call->request, call->attempt_deadline, [this, call, attempt](Attempt result) {
+    if (call->is_done) return;
+    if (result.was_sent && !result.is_undecided) call->may_have_run = true;
+    if (result.is_answered && !result.is_undecided) return Finish(call, std::move(result.response));
+    if (attempt != call->attempt) return;
+    call->is_open = false;
+    call->next_attempt = m_now + kRetryPause;
+  });
+}
+
+void Relay::OnTick(Time now) {
+  m_now = now;
+  const std::vector<CallPtr> calls(m_calls.begin(), m_calls.end());
+  for (const CallPtr& call : calls) {
+    const bool is_hopeless = !m_is_known && now - m_known_at > kLeaderPatience && !call->is_open;
+    if (now >= call->deadline || is_hopeless) {
+      // An attempt that is still open may have been received.
+      Finish(call, m_ports.give_up(call->may_have_run || call->is_open));
+    } else if (!call->is_open && m_is_known && now >= call->next_attempt) {
+      Try(call, now);
+    }
+  }
+}
+
+void Relay::Finish(const CallPtr& call, HttpResponse response) {
+  if (call->is_done) return;
+  call->is_done = true;
+  m_calls.erase(call);
+  call->done(std::move(response));
+}
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/jobs/job.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/enum_names.h"
+#include "base/id.h"
+#include "base/time.h"
+#include "jobs/job_spec.h"
+
+namespace jaymast {
+
+enum class JobState { kPending, kRunning, kCompleted, kFailed, kCancelled };
+
+template <>
+struct EnumNames<JobState> {
+  static constexpr std::array<std::string_view, 5> kNames = {"pending", "running", "completed", "failed", "cancelled"};
+};
+
+constexpr bool IsFinal(JobState state) { return state != JobState::kPending && state != JobState::kRunning; }
+
+enum class TaskPhase {
+  kWaiting,   ///< has no upstream
+  kAssigned,  ///< has room on an upstream; the start is not sent before the assignment is committed
+  kStarting,  ///< the start was sent and may have been received
+  kRunning,
+  kStopping,  ///< a stop was sent; holds its room until the end is listed
+  kDone,
+};
+
+template <>
+struct EnumNames<TaskPhase> {
+  static constexpr std::array<std::string_view, 6> kNames = {"waiting", "assigned", "starting",
+                                                             "running", "stopping", "done"};
+};
+
+/// Whether a task in this phase holds room on its upstream.
+constexpr bool HoldsRoom(TaskPhase phase) { return phase != TaskPhase::kWaiting && phase != TaskPhase::kDone; }
+
+struct TaskState {
+  TaskPhase phase = TaskPhase::kWaiting;
+  std::int32_t run = 0;       ///< number of the last start
+  std::int32_t failures = 0;  ///< runs that ended with a failure
+  UpstreamId upstream;        ///< holds the room of the task
+  std::string checkpoint;
+  // Not stored: known from the upstream again after a takeover.
+  std::uint64_t token = 0;  ///< fence with which the start was sent
+  std::int32_t send_attempts = 0;
+  Time confirmed_at = Time::max();  ///< when the upstream acknowledged the start
+  Time stop_due = Time::max();      ///< when the stop is sent again
+  Time progressed_at{};             ///< when the reported progress last changed
+  std::int32_t percent = -1;
+  UpstreamId failed_on;  ///< where the last run failed; avoided next time
+};
+
+/// Permission of the policy service to start tasks of one step on one upstream.
+struct Ticket {
+  std::string text;
+  Time expires{};
+  std::int64_t incarnation = 0;  ///< life of the upstream for which the ticket is valid
+};
+
+/// One step of one occurrence.
+struct StepState {
+  std::vector<TaskState> tasks;
+  std::map<UpstreamId, Ticket> tickets;  ///< answers that allow the step
+  std::map<UpstreamId, bool> verdicts;   ///< everything the policy service ever said of this step
+  int open_advice_calls = 0;
+  Time next_advice{};            ///< not asked again before
+  std::int64_t waiting = 0;      ///< tasks without an upstream
+  std::int64_t not_done = 0;     ///< tasks that are not done
+  bool is_gang_done = false;     ///< one member ended as done, which counts for all
+  std::int32_t gang_failed = 0;  ///< highest run of the gang that was counted as failed
+  bool was_started = false;      ///< in the list of steps that may be placed
+};
+
+struct Occurrence {
+  std::vector<StepState> steps;  ///< empty until the occurrence is due
+  std::int64_t steps_left = 0;
+  bool is_done = false;
+};
+
+/// A job and what became of its tasks.
+struct Job {
+  JobId id;
+  QueueId queue;
+  TeamId team;  ///< organisation of the client
+  JobSpec spec;
+  JobState state = JobState::kPending;
+  JobState shown = JobState::kPending;  ///< committed state, the only one that clients see
+  std::vector<Occurrence> occurrences;
+  bool has_started = false;  ///< a task has begun
+  Time accepted{};
+  Time objective{};  ///< latest completion that counts as timely
+  Time late_bound{};  ///< latest completion that is worth something
+  double work_core_s = 0;
+  std::int64_t recorded_at_ms = 0;  ///< clock of the store at the acceptance
+
+  // Durability: changes up to `committed_change` are in the store.
+  std::uint64_t change = 0;
+  std::uint64_t committed_change = 0;
+  bool is_queued_for_commit = false;
+  bool is_spec_recorded = false;
+  bool is_final_recorded = false;
+  std::vector<std::pair<std::uint64_t, std::function<void()>>> when_committed;
+};
+
+/// Identifies one task: the job, the occurrence, the step and the position in the step.
+struct TaskKey {
+  JobId job;
+  std::size_t occurrence = 0;
+  std::size_t step = 0;
+  std::size_t index = 0;
+
+  friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+  friend bool operator==(const TaskKey&, const TaskKey&) = default;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/jobs/job_record.cc
@@ -0,0 +1,259 @@
+#include "jobs/job_record.h"
+
+#include <fmt/format.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/system/error_code.hpp>
+#include <charconv>
+#include <limits>
+
+#include "base/field_reader.h"
+
+namespace jaymast {
+namespace {
+
+namespace json = boost::json;
+
+/// Upper bound of counts and amounts in a record; larger figures are not written by this program.
+constexpr std::int64_t kMaxAmount = std::int64_t{1} << 52;
+constexpr std::size_t kMaxTextBytes = 64 * 1024;
+
+json::object EncodeStep(const StepSpec& step) {
+  json::object out;
+  out["n"] = step.task_count;
+  out["d"] = json::array{step.demand.cpu_millis, step.demand.memory_mb, step.demand.accelerators};
+  out["e"] = step.estimate_ms;
+  if (!step.after.empty()) out["a"] = json::array(step.after.begin(), step.after.end());
+  std::int64_t flags = 0;
+  const std::array<bool, 6> bits = {step.checkpoints,    step.is_gang,         step.same_rack,
+                                    step.is_speculative, step.is_long_running, step.fills};
+  for (std::size_t i = 0; i < bits.size(); ++i) flags |= std::int64_t{bits.at(i)} << i;
+  if (flags != 0) out["f"] = flags;
+  if (!step.required_label.empty()) out["l"] = step.required_label;
+  if (!step.preferred_rack.empty()) out["r"] = step.preferred_rack;
+  if (step.max_per_upstream != 0) out["p"] = step.max_per_upstream;
+  if (!step.image.empty()) out["i"] = step.image;
+  if (step.latency_objective_ms != 0) out["o"] = step.latency_objective_ms;
+  if (step.max_unavailable != 0) out["u"] = step.max_unavailable;
+  return out;
+}
+
+std::optional<StepSpec> DecodeStep(const json::value& value) {
+  if (!value.is_object()) return std::nullopt;
+  FieldReader reader(value.get_object(), "step");
+  StepSpec step;
+  step.task_count = reader.Int("n", 1, 0, kMaxAmount);
+  if (const json::array* demand = reader.Array("d"); demand != nullptr && demand->size() == 3) {
+    std::array<std::int64_t, 3> amounts{};
+    for (std::size_t i = 0; i < amounts.size(); ++i) {
+      if (!(*demand)[i].is_int64()) return std::nullopt;
+      amounts.at(i) = (*demand)[i].get_int64();
+    }
+    step.demand = Resources{amounts[0], amounts[1], amounts[2], 0};
+  }
+  step.estimate_ms = reader.Int("e", 0, 0, kMaxAmount);
+  if (const json::array* after = reader.Array("a")) {
+    for (const json::value& position : *after) {
+      boost::system::error_code ec;
+      step.after.push_back(position.to_number<std::size_t>(ec));
+      if (ec) return std::nullopt;
+    }
+  }
+  const std::int64_t flags = reader.Int("f", 0, 0, 63);
+  const auto bit = [flags](int position) { return ((flags >> position) & 1) != 0; };
+  step.checkpoints = bit(0);
+  step.is_gang = bit(1);
+  step.same_rack = bit(2);
+  step.is_speculative = bit(3);
+  step.is_long_running = bit(4);
+  step.fills = bit(5);
+  step.required_label = reader.String("l", "", kMaxTextBytes);
+  step.preferred_rack = reader.String("r", "", kMaxTextBytes);
+  step.max_per_upstream = reader.Int("p", 0, 0, kMaxAmount);
+  step.image = reader.String("i", "", kMaxTextBytes);
+  step.latency_objective_ms = reader.Int("o", 0, 0, kMaxAmount);
+  step.max_unavailable = reader.Int("u", 0, 0, kMaxAmount);
+  if (reader.error()) return std::nullopt;
+  return step;
+}
+
+json::array EncodeTask(const TaskState& task) {
+  json::array out;
+  out.emplace_back(static_cast<std::int64_t>(task.phase));
+  out.emplace_back(task.run);
+  out.emplace_back(task.failures);
+  if (HoldsRoom(task.phase) || !task.checkpoint.empty()) out.emplace_back(task.upstream.value());
+  if (!task.checkpoint.empty()) out.emplace_back(task.checkpoint);
+  return out;
+}
+
+bool DecodeTask(const json::value& value, TaskState& task) {
+  if (!value.is_array()) return false;
+  const json::array& row = value.get_array();
+  if (row.size() < 3 || !row[0].is_int64() || !row[1].is_int64() || !row[2].is_int64()) return false;
+  const std::int64_t phase = row[0].get_int64();
+  if (phase < 0 || phase > static_cast<std::int64_t>(TaskPhase::kDone)) return false;
+  task.phase = static_cast<TaskPhase>(phase);
+  task.run = static_cast<std::int32_t>(row[1].get_int64());
+  task.failures = static_cast<std::int32_t>(row[2].get_int64());
+  if (row.size() > 3 && row[3].is_string()) task.upstream = UpstreamId(std::string(row[3].get_string()));
+  if (row.size() > 4 && row[4].is_string()) task.checkpoint = std::string(row[4].get_string());
+  return true;
+}
+
+}  // namespace
+
+std::string EncodeJobRecord(const Job& job) {
+  json::object out;
+  out["q"] = job.queue.value();
+  out["t"] = job.team.value();
+  out["s"] = ToString(job.state);
+  out["at"] = job.recorded_at_ms;
+  if (IsFinal(job.state)) return json::serialize(out);
+  out["p"] = job.spec.payload;
+  json::array steps;
+  for (const StepSpec& step : job.spec.steps) steps.push_back(EncodeStep(step));
+  out["steps"] = std::move(steps);
+  if (job.spec.repeat_count > 0) {
+    out["rep"] = json::array{job.spec.repeat_count, job.spec.start_at_unix_ms, job.spec.interval_ms};
+  }
+  return json::serialize(out);
+}
+
+std::string EncodeProgressRecord(const Job& job) {
+  json::object out;
+  out["s"] = ToString(job.state);
+  out["b"] = job.has_started;
+  json::array occurrences;
+  for (const Occurrence& occurrence : job.occurrences) {
+    if (occurrence.is_done) {
+      occurrences.emplace_back(1);
+      continue;
+    }
+    if (occurrence.steps.empty()) {
+      occurrences.emplace_back(0);
+      continue;
+    }
+    json::array steps;
+    for (const StepState& step : occurrence.steps) {
+      json::array tasks;
+      for (const TaskState& task : step.tasks) tasks.push_back(EncodeTask(task));
+      steps.push_back(json::array{step.is_gang_done, step.gang_failed, std::move(tasks)});
+    }
+    occurrences.push_back(std::move(steps));
+  }
+  out["o"] = std::move(occurrences);
+  return json::serialize(out);
+}
+
+Result<Job> DecodeJobRecord(const JobId& id, std::string_view text) {
+  const std::string path = "job/" + id.value();
+  boost::system::error_code ec;
+  const json::value value = json::parse(text, ec);
+  if (ec || !value.is_object()) return Error{ErrorId::kInputSyntax, path, "not a JSON object"};
+  FieldReader reader(value.get_object(), path);
+  Job job;
+  job.id = id;
+  job.queue = QueueId(reader.RequiredString("q", kMaxTextBytes));
+  job.team = TeamId(reader.String("t", "", kMaxTextBytes));
+  job.state = reader.Enum("s", JobState::kPending);
+  job.shown = job.state;
+  job.recorded_at_ms = reader.Int("at", 0, 0, kMaxAmount);
+  job.spec.payload = reader.String("p", "", kMaxTextBytes);
+  if (const json::array* steps = reader.Array("steps")) {
+    for (const json::value& step : *steps) {
+      std::optional<StepSpec> decoded = DecodeStep(step);
+      if (!decoded) return Error{ErrorId::kInputField, path + "/steps", "unreadable step"};
+      job.spec.steps.push_back(std::move(*decoded));
+    }
+  }
+  if (const json::array* repeat = reader.Array("rep"); repeat != nullptr && repeat->size() == 3) {
+    for (const json::value& figure : *repeat) {
+      if (!figure.is_int64()) return Error{ErrorId::kInputField, path + "/rep", "not a number"};
+    }
+    job.spec.repeat_count = (*repeat)[0].get_int64();
+    job.spec.start_at_unix_ms = (*repeat)[1].get_int64();
+    job.spec.interval_ms = (*repeat)[2].get_int64();
+  }
+  if (reader.error()) return *reader.error();
+  job.is_spec_recorded = true;
+  job.is_final_recorded = IsFinal(job.state);
+  if (!IsFinal(job.state)) job.occurrences.resize(static_cast<std::size_t>(job.spec.occurrence_count()));
+  return job;
+}
+
+bool ApplyProgressRecord(std::string_view text, Job& job) {
+  boost::system::error_code ec;
+  const json::value value = json::parse(text, ec);
+  if (ec || !value.is_object()) return false;
+  FieldReader reader(value.get_object(), "progress/" + job.id.value());
+  job.state = reader.Enum("s", JobState::kPending);
+  job.shown = job.state;
+  job.has_started = reader.Bool("b", false);
+  const json::array* occurrences = reader.Array("o");
+  if (reader.error() || occurrences == nullptr || occurrences->size() != job.occurrences.size()) return false;
+  for (std::size_t k = 0; k < occurrences->size(); ++k) {
+    const json::value& row = (*occurrences)[k];
+    if (row.is_int64()) {
+      job.occurrences[k].is_done = row.get_int64() == 1;
+      continue;
+    }
+    if (!row.is_array() || row.get_array().size() != job.spec.steps.size()) return false;
+    OpenOccurrence(job, k);
+    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+      const json::value& step_row = row.get_array()[s];
+      StepState& step = job.occurrences[k].steps[s];
+      if (!step_row.is_array() || step_row.get_array().size() != 3) return false;
+      const json::array& parts = step_row.get_array();
+      if (!parts[0].is_bool() || !parts[1].is_int64() || !parts[2].is_array()) return false;
+      step.is_gang_done = parts[0].get_bool();
+      step.gang_failed = static_cast<std::int32_t>(parts[1].get_int64());
+      if (parts[2].get_array().size() != step.tasks.size()) return false;
+      step.waiting = 0;
+      step.not_done = 0;
+      for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        if (!DecodeTask(parts[2].get_array()[i], step.tasks[i])) return false;
+        if (step.tasks[i].phase == TaskPhase::kWaiting) ++step.waiting;
+        if (step.tasks[i].phase != TaskPhase::kDone) ++step.not_done;
+      }
+    }
+  }
+  return true;
+}
+
+void OpenOccurrence(Job& job, std::size_t occurrence) {
+  Occurrence& opened = job.occurrences.at(occurrence);
+  opened.steps.clear();
+  opened.steps_left = static_cast<std::int64_t>(job.spec.steps.size());
+  for (const StepSpec& spec : job.spec.steps) {
+    StepState step;
+    step.tasks.resize(static_cast<std::size_t>(spec.task_count));
+    step.waiting = spec.task_count;
+    step.not_done = spec.task_count;
+    opened.steps.push_back(std::move(step));
+  }
+}
+
+std::string FormatTaskKey(const TaskKey& key) {
+  return fmt::format("{}.{}.{}.{}", key.job.value(), key.occurrence, key.step, key.index);
+}
+
+std::optional<TaskKey> ParseTaskKey(std::string_view text) {
+  std::array<std::size_t, 3> figures{};
+  for (int i = 2; i >= 0; --i) {
+    const std::size_t dot = text.rfind('.');
+    if (dot == std::string_view::npos) return std::nullopt;
+    const std::string_view digits = text.substr(dot + 1);
+    const auto [end, ec] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), figures.at(static_cast<std::size_t>(i)));
+    if (ec != std::errc() || end != digits.data() + digits.size()) return std::nullopt;
+    text = text.substr(0, dot);
+  }
+  if (text.empty()) return std::nullopt;
+  return TaskKey{JobId(text), figures[0], figures[1], figures[2]};
+}
+
+}  // namespace jaymast
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -23,8 +23,6 @@
 using ErrorCode = boost::beast::error_code;
 using TlsStream = boost::beast::ssl_stream<tcp_stream>;
 
-constexpr std::chrono::seconds kConnectTimeout{3};
-
 http::request<http::string_body> ToMessage(HttpRequest request, const std::string& host) {
   http::request<http::string_body> message;
   message.method_string(request.method);
@@ -54,11 +52,12 @@
       : m_host(host),
         m_address(host->address()),
         m_max_response_bytes(host->options().max_response_bytes),
+        m_connect_timeout(host->options().connect_timeout),
         m_tls_context(std::move(context)),
         m_stream(std::move(stream)) {}
 
   void Connect(const boost::asio::ip::tcp::endpoint& endpoint) override {
-    Lowest().expires_after(kConnectTimeout);
+    Lowest().expires_after(m_connect_timeout);
     Lowest().async_connect(endpoint, [self = Self()](ErrorCode ec) {
       if (ec) return self->FailConnect(ec);
       ErrorCode ignored;
@@ -162,6 +161,7 @@
   const std::weak_ptr<HttpClientHost> m_host;
   const std::string m_address;
   const std::size_t m_max_response_bytes;
+  const std::chrono::milliseconds m_connect_timeout;
   const std::shared_ptr<boost::asio::ssl::context> m_tls_context;
   Stream m_stream;
   boost::beast::flat_buffer m_buffer;
--- a/src/net/http_client_host.cc
+++ b/src/net/http_client_host.cc
@@ -69,6 +69,9 @@
   }
   Complete(*pending, HttpResult{SendStatus::kUnknown, {}, m_address + ": no response before the deadline"});
   if (const auto connection = pending->connection.lock()) connection->Close();
+  if (!m_options.drops_idle_after_silence) return;
+  const auto idle = std::exchange(m_idle, {});
+  for (const auto& other : idle) other->Close();
 }
 
 void HttpClientHost::Pump() {
