Let the work of silent upstreams lapse, step down when fenced, and answer copies of a call alike

A leader that could not write went on until its next commit. Ruled out: a lost requeue after 'broken'; the log shows two members on the crashed upstream that never lapsed.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,7 @@
 build=${1:-build}
 mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cc' '*.h' | grep -v '/generated/')
 clang-format --dry-run --Werror "${files[@]}"
-run-clang-tidy -quiet -p "$build" -j "$(nproc)" '/(src|examples)/.*\.cc$' > "$build/clang-tidy.log" 2>&1 || {
+run-clang-tidy -quiet -p "$build" -j "$(nproc)" '/(src|examples|platform)/.*\.cc$' > "$build/clang-tidy.log" 2>&1 || {
   grep -E 'error:|warning:' "$build/clang-tidy.log" | sort -u | head -n 50
   exit 1
 }
--- a/src/cell/leadership.cc
+++ b/src/cell/leadership.cc
@@ -51,8 +51,7 @@
 void Leadership::Read(Time now) {
   m_is_reading = true;
   const std::string key = kLeaderKey;
-  m_store.Scan(kLeaderTable, key, key + '\x01',
-               [this, now](const StateScanReply& reply) { OnRow(now, reply); });
+  m_store.Scan(kLeaderTable, key, key + '\x01', [this, now](const StateScanReply& reply) { OnRow(now, reply); });
 }
 
 void Leadership::OnRow(Time sent_at, const StateScanReply& reply) {
--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -23,11 +23,13 @@
 
 }  // namespace
 
-Scheduler::Scheduler(Ports ports, std::uint64_t epoch, Time now, std::function<void()> mark_dirty)
+Scheduler::Scheduler(Ports ports, std::uint64_t epoch, Time now, std::function<void()> mark_dirty,
+                     std::function<void()> fenced)
     : m_ports(ports),
       m_epoch(epoch),
       m_took_over_at(now),
       m_mark_dirty(std::move(mark_dirty)),
+      m_fenced(std::move(fenced)),
       m_now(now),
       m_desk(ports.policy) {}
 
@@ -231,8 +233,7 @@
     job.work_core_s += static_cast<double>(step.task_count * step.estimate_ms) / 1000.0 *
                        static_cast<double>(step.demand.cpu_millis) / 1000.0;
   }
-  const auto objective_ms =
-      static_cast<std::int64_t>(longest * queue->stretch) + queue->target_duration_ms;
+  const auto objective_ms = static_cast<std::int64_t>(longest * queue->stretch) + queue->target_duration_ms;
   job.objective = job.accepted + std::chrono::milliseconds(objective_ms);
   job.late_bound = job.accepted + std::chrono::milliseconds(objective_ms * kLateFactor);
 }
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -18,6 +18,7 @@
 #include "cell/client_call.h"
 #include "cell/journal.h"
 #include "cell/policy_port.h"
+#include "cell/refused_calls.h"
 #include "cell/upstream_port.h"
 #include "cell/upstream_state.h"
 #include "jobs/cell_config.h"
@@ -46,7 +47,8 @@
   };
 
   /// @param epoch number of the takeover; all tokens of this leader lie above those of earlier ones
-  Scheduler(Ports ports, std::uint64_t epoch, Time now, std::function<void()> mark_dirty);
+  /// @param fenced called when an upstream has seen the token of a later leader
+  Scheduler(Ports ports, std::uint64_t epoch, Time now, std::function<void()> mark_dirty, std::function<void()> fenced);
 
   // Loading, before the first tick.
   void AddRecordedJob(Job job, std::int64_t age_ms);
@@ -66,7 +68,7 @@
   void SetAgents(const std::vector<std::string>& addresses) { m_desk.SetAgents(addresses); }
   void SetStanding(const LeaderStanding& standing) { m_standing = standing; }
 
-  void OnClientCall(ClientCall call, ClientReplyFunction reply);
+  void OnClientCall(const ClientCall& call, const ClientReplyFunction& reply);
   void OnTick(Time now);
 
   /// Rows that have changed since the last call.
@@ -77,7 +79,7 @@
 
  private:
   /// Work that this leader can't reach is over this long after the takeover: earlier leaders bound their leases so.
-  static constexpr Duration kLongestLease{15'000'000};
+  static constexpr Duration kLongestLease{10'800'000};
   /// Answers that are on their way when a lease ends.
   static constexpr Duration kLapseMargin{300'000};
   /// A stop without a listed end is sent again after this time.
@@ -110,6 +112,8 @@
   bool IsSettled(const Job& job) const;
 
   // scheduler_clients.cc
+  void Decide(const ClientCall& call, const ClientReplyFunction& reply);
+  void Acknowledge(Job& job, const ClientReplyFunction& reply);
   void Submit(const ClientCall& call, const QueueConfig& queue, const JobId& id, const TeamId& team,
               const ClientReplyFunction& reply);
   void Cancel(const JobId& id, const ClientReplyFunction& reply);
@@ -160,6 +164,7 @@
   const std::uint64_t m_epoch;
   const Time m_took_over_at;
   const std::function<void()> m_mark_dirty;
+  const std::function<void()> m_fenced;
   Time m_now;
   LeaderStanding m_standing;
   std::shared_ptr<const CellConfig> m_config;
@@ -171,6 +176,7 @@
   std::deque<JobId> m_commit_queue;
   std::map<UpstreamId, UpstreamState> m_upstreams;
   std::map<TeamId, Resources> m_team_use;
+  RefusedCalls m_refused_calls;
   AdviceDesk m_desk;
   Admission m_admission;
   std::map<QueueId, double> m_allowed_share;  ///< learned share of upstreams that the policy allows
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -18,7 +18,17 @@
 
 }  // namespace
 
-void Scheduler::OnClientCall(ClientCall call, ClientReplyFunction reply) {
+void Scheduler::OnClientCall(const ClientCall& call, const ClientReplyFunction& reply) {
+  if (call.action != ClientAction::kSubmit) return Decide(call, reply);
+  if (m_refused_calls.Contains(call.call_id, m_now)) return reply({ClientOutcome::kUnavailable, {}, 0, 1});
+  Decide(call, [this, call_id = call.call_id, reply](const ClientReply& decided) {
+    const bool is_refused = decided.outcome != ClientOutcome::kAccepted && decided.outcome != ClientOutcome::kNotLeader;
+    if (is_refused) m_refused_calls.Add(call_id, m_now);
+    reply(decided);
+  });
+}
+
+void Scheduler::Decide(const ClientCall& call, const ClientReplyFunction& reply) {
   const bool is_config_fresh = m_config != nullptr && m_now - m_config_current_at <= kMaxConfigAge;
   const bool is_confirmed = m_now - m_standing.confirmed_at <= kMaxUnconfirmed;
   if (m_config == nullptr) return reply({ClientOutcome::kUnavailable, {}, 0, 1});
@@ -27,6 +37,12 @@
     if (!is_config_fresh || !is_confirmed) return reply({ClientOutcome::kNotLeader});
     return reply({ClientOutcome::kNoSuchQueue});
   }
+  const JobId id(call.path.substr(queue->prefix.size()));
+  Job* job = FindJob(id);
+  // A copy of the call that was accepted is answered alike, even if the key was revoked in between.
+  const bool is_copy =
+      call.action == ClientAction::kSubmit && job != nullptr && !call.call_id.empty() && job->call_id == call.call_id;
+  if (is_copy) return Acknowledge(*job, reply);
   TeamId team;
   if (call.key) {
     const auto found = m_config->team_of_key.find(*call.key);
@@ -40,13 +56,11 @@
     if (!is_confirmed) return reply({ClientOutcome::kNotLeader});
     return reply({ClientOutcome::kQueueLength, {}, CountWaiting(queue->id)});
   }
-  const JobId id(call.path.substr(queue->prefix.size()));
   if (call.action == ClientAction::kCancel) {
     // A revoked key must not cancel either, so the configuration has to be current.
     if (!is_config_fresh) return reply({ClientOutcome::kNotLeader});
     return Cancel(id, reply);
   }
-  Job* job = FindJob(id);
   if (call.action == ClientAction::kSubmit && job == nullptr) {
     if (!is_config_fresh || m_standing.is_store_stalled) {
       m_ports.events.Emit("job.refused", {{"job", id.value()}, {"reason", "store does not answer"}});
@@ -55,10 +69,7 @@
     return Submit(call, *queue, id, team, reply);
   }
   if (job == nullptr) return reply({is_confirmed ? ClientOutcome::kNoSuchJob : ClientOutcome::kNotLeader});
-  if (call.action == ClientAction::kSubmit) {
-    if (job->committed_change > 0) return reply({ClientOutcome::kAccepted});
-    return WhenCommitted(*job, [reply] { reply({ClientOutcome::kAccepted}); });
-  }
+  if (call.action == ClientAction::kSubmit) return Acknowledge(*job, reply);
   if (job->committed_change == 0) {
     return WhenCommitted(*job, [this, id, reply] {
       const Job* committed = FindJob(id);
@@ -68,6 +79,11 @@
   reply({ClientOutcome::kState, job->shown});
 }
 
+void Scheduler::Acknowledge(Job& job, const ClientReplyFunction& reply) {
+  if (job.committed_change > 0) return reply({ClientOutcome::kAccepted});
+  WhenCommitted(job, [reply] { reply({ClientOutcome::kAccepted}); });
+}
+
 void Scheduler::Submit(const ClientCall& call, const QueueConfig& queue, const JobId& id, const TeamId& team,
                        const ClientReplyFunction& reply) {
   if (!call.spec || call.spec->steps.empty()) return reply({ClientOutcome::kMalformed});
@@ -82,6 +98,7 @@
   job.id = id;
   job.queue = queue.id;
   job.team = team;
+  job.call_id = call.call_id;
   job.spec = *call.spec;
   job.accepted = m_now;
   job.recorded_at_ms = m_standing.store_now_ms;
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -9,11 +9,11 @@
 namespace jaymast {
 namespace {
 
-/// Work survives a cut of this length between the leader and the upstream. Upstreams shorten leases above 10 s.
-constexpr Duration kLease{9'000'000};
+/// Work survives a cut of 6 s between the leader and the upstream; work on a crashed upstream is repeated after it.
+constexpr Duration kLease{7'000'000};
 /// Leases end at most this long after the leader was last confirmed, so a successor knows when work that it can't reach
 /// is over.
-constexpr Duration kLeaseBeyondStanding{14'000'000};
+constexpr Duration kLeaseBeyondStanding{10'000'000};
 /// An unanswered start is sent again this often before the upstream is fenced.
 constexpr std::int32_t kMaxSendAttempts = 3;
 }  // namespace
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -183,8 +183,9 @@
       if (reserved != m_reserved.end()) continue;
       const Resources& capacity = upstream->listing.capacity;
       const Resources free = upstream->Free();
-      double score = static_cast<double>(free.cpu_millis) / static_cast<double>(std::max<std::int64_t>(1, capacity.cpu_millis)) +
-                     static_cast<double>(free.memory_mb) / static_cast<double>(std::max<std::int64_t>(1, capacity.memory_mb));
+      double score =
+          static_cast<double>(free.cpu_millis) / static_cast<double>(std::max<std::int64_t>(1, capacity.cpu_millis)) +
+          static_cast<double>(free.memory_mb) / static_cast<double>(std::max<std::int64_t>(1, capacity.memory_mb));
       if (!spec.preferred_rack.empty() && !upstream->HasLabel(spec.preferred_rack)) score += 4;
       if (task.failed_on == upstream->listing.id) score += 8;
       if (score < best_score) {
@@ -259,10 +260,10 @@
   question.expected_ms = static_cast<std::int64_t>(
       std::ceil(terms.call_ms + terms.per_upstream_ms * static_cast<double>(question.upstreams.size())));
   const TaskKey step_key{ref.job->id, ref.occurrence, ref.step, 0};
-  const bool is_asked = m_desk.TryAsk(question, m_now, [this, step_key, named = question.upstreams](
-                                                           const PolicyAnswer& answer) {
-    OnPolicyAnswer(step_key, named, answer);
-  });
+  const bool is_asked =
+      m_desk.TryAsk(question, m_now, [this, step_key, named = question.upstreams](const PolicyAnswer& answer) {
+        OnPolicyAnswer(step_key, named, answer);
+      });
   if (is_asked) ++step.open_advice_calls;
 }
 
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -38,8 +38,8 @@
     upstream.lapse_at = m_took_over_at + kLongestLease;
   }
   if (!upstream.is_listed || upstream.listing.is_draining != listing.is_draining) {
-    m_ports.events.Emit("upstream.listed", {{"upstream", listing.id.value()},
-                                            {"draining", listing.is_draining ? "true" : "false"}});
+    m_ports.events.Emit("upstream.listed",
+                        {{"upstream", listing.id.value()}, {"draining", listing.is_draining ? "true" : "false"}});
     m_needs_placing = true;
   }
   upstream.is_listed = true;
@@ -62,8 +62,8 @@
 bool Scheduler::IsUsable(const UpstreamState& upstream) const {
   return upstream.is_listed && upstream.is_adopted && !upstream.listing.is_draining &&
          upstream.listing.incarnation == upstream.incarnation && upstream.failed_syncs == 0 &&
-          upstream.quarantined_until <= m_now &&
-         m_now - upstream.answered_at < kSuspectAfter && !m_domains_out.contains(upstream.listing.domain);
+         upstream.quarantined_until <= m_now && m_now - upstream.answered_at < kSuspectAfter &&
+         !m_domains_out.contains(upstream.listing.domain);
 }
 
 void Scheduler::SyncIfDue(UpstreamState& upstream) {
@@ -81,17 +81,17 @@
   SyncOrder order;
   order.target = {id, upstream.listing.address, upstream.token};
   order.acknowledged_end = upstream.acknowledged_end;
-  const bool knows_clock = upstream.is_adopted && upstream.clock_ms > 0;
-  order.lease_until_ms = knows_clock ? LeaseUntil(upstream) : 0;
-  const bool needs_answer = !upstream.is_adopted || upstream.failed_syncs > 0 || has_unstored ||
-                            upstream.sync_token != upstream.token;
+  // An upstream that does not answer gets no further lease, so that its work is surely over at some time.
+  const bool extends_lease = upstream.is_adopted && upstream.clock_ms > 0 && upstream.failed_syncs == 0;
+  order.lease_until_ms = extends_lease ? LeaseUntil(upstream) : 0;
+  const bool needs_answer =
+      !upstream.is_adopted || upstream.failed_syncs > 0 || has_unstored || upstream.sync_token != upstream.token;
   order.wait_ms = needs_answer ? 0 : kSyncWaitMs;
   upstream.is_syncing = true;
   upstream.sync_sent_at = m_now;
   upstream.sync_token = upstream.token;
-  m_ports.upstreams.Sync(order, [this, id, number = ++upstream.sync_number](const SyncReply& reply) {
-    OnSyncReply(id, number, reply);
-  });
+  m_ports.upstreams.Sync(
+      order, [this, id, number = ++upstream.sync_number](const SyncReply& reply) { OnSyncReply(id, number, reply); });
 }
 
 void Scheduler::OnSyncReply(const UpstreamId& id, std::uint64_t number, const SyncReply& reply) {
@@ -99,10 +99,12 @@
   if (found == nullptr || found->sync_number != number) return;
   UpstreamState& upstream = *found;
   upstream.is_syncing = false;
+  if (reply.status == OrderStatus::kFenced && upstream.sync_token == upstream.token) m_fenced();
   if (reply.status != OrderStatus::kAccepted) {
     ++upstream.failed_syncs;
     if (upstream.failed_syncs == 3) {
-      m_ports.events.Emit("upstream.silent", {{"upstream", id.value()}, {"reason", std::string(ToString(reply.status))}});
+      m_ports.events.Emit("upstream.silent",
+                          {{"upstream", id.value()}, {"reason", std::string(ToString(reply.status))}});
     }
     const Duration pause = std::min(kMaxFailedPause, kFailedPause * upstream.failed_syncs);
     upstream.next_sync = m_now + pause;
@@ -152,8 +154,8 @@
 void Scheduler::OnRunning(UpstreamState& upstream, const RunningRow& row) {
   TaskState* task = FindTask(row.task);
   Job* job = FindJob(row.task.job);
-  const bool is_ours = task != nullptr && task->run == row.run && task->upstream == upstream.listing.id &&
-                       HoldsRoom(task->phase);
+  const bool is_ours =
+      task != nullptr && task->run == row.run && task->upstream == upstream.listing.id && HoldsRoom(task->phase);
   if (!is_ours) {
     m_ports.events.Emit("run.unknown", {{"task", FormatTaskKey(row.task)}, {"upstream", upstream.listing.id.value()}});
     SendStop(upstream, row.task, row.run);
@@ -190,8 +192,7 @@
   }
   const StepSpec& spec = job->spec.steps[row.task.step];
   StepState& step = StepOf(*job, row.task);
-  const bool is_current =
-      task->run == row.run && task->upstream == upstream.listing.id && HoldsRoom(task->phase);
+  const bool is_current = task->run == row.run && task->upstream == upstream.listing.id && HoldsRoom(task->phase);
   if (!is_current) {
     const bool counts = row.kind == EndKind::kDone && task->run == row.run && task->phase == TaskPhase::kWaiting &&
                         !spec.is_gang && !IsFinal(job->state);
@@ -315,9 +316,8 @@
     if (job.spec.steps[key.step].is_long_running) continue;
     StepState& step = StepOf(job, key);
     if (job.spec.steps[key.step].is_gang) {
-      const bool is_complete = std::all_of(step.tasks.begin(), step.tasks.end(), [](const TaskState& member) {
-        return member.phase == TaskPhase::kRunning;
-      });
+      const bool is_complete = std::all_of(step.tasks.begin(), step.tasks.end(),
+                                           [](const TaskState& member) { return member.phase == TaskPhase::kRunning; });
       if (!is_complete) continue;
       // Which member hangs is not known.
       AbortGang(job, key, "gang makes no progress");
--- a/src/cell/upstream_port.h
+++ b/src/cell/upstream_port.h
@@ -46,9 +46,9 @@
 
 enum class OrderStatus {
   kAccepted,
-  kFenced,            ///< the upstream has seen a higher token
-  kStaleRun,          ///< a run with this number or a higher one was there before
-  kLate,              ///< the lease was over on arrival
+  kFenced,    ///< the upstream has seen a higher token
+  kStaleRun,  ///< a run with this number or a higher one was there before
+  kLate,      ///< the lease was over on arrival
   kNoRoom,
   kBadTicket,
   kMalformed,
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -30,6 +30,7 @@
 constexpr const char* kHelloPath = "/peer/hello";
 constexpr const char* kAdvisePath = "/peer/advise";
 constexpr const char* kRelayedHeader = "Jaymast-Relayed-Host";
+constexpr const char* kCallIdHeader = "Jaymast-Call-Id";
 constexpr const char* kUndecidedHeader = "Jaymast-Undecided";
 
 HttpRequest PeerMessage(const char* path, std::string body) {
@@ -120,6 +121,9 @@
   const std::int64_t told_ms = m_ports.codec.PatienceMs(request);
   const std::int64_t patience_ms = told_ms > 0 ? told_ms : kDefaultPatienceMs;
   const Time deadline = m_now + std::chrono::milliseconds(std::max<std::int64_t>(1, patience_ms - kAnswerMarginMs));
+  // Unique over instances and restarts, as no two processes with one address start in the same microsecond.
+  request.headers.emplace_back(
+      kCallIdHeader, m_address + "-" + std::to_string(ToMicros(m_started_at)) + "-" + std::to_string(++m_call_count));
   m_relay.OnCall(std::move(request), m_now, deadline, std::move(done));
 }
 
@@ -142,7 +146,8 @@
 void CellInstance::AnswerClient(const HttpRequest& request,
                                 const std::function<void(HttpResponse, bool is_undecided)>& done) {
   if (m_term == nullptr) return done(m_ports.codec.GiveUp(false), true);
-  const ClientCall call = m_ports.codec.Decode(request);
+  ClientCall call = m_ports.codec.Decode(request);
+  call.call_id = std::string(FindHeader(request.headers, kCallIdHeader));
   m_term->OnClientCall(call, [this, call, done](const ClientReply& reply) {
     done(m_ports.codec.Encode(call, reply), reply.outcome == ClientOutcome::kNotLeader);
   });
@@ -203,9 +208,8 @@
 void CellInstance::SendBeats() {
   m_next_beat = m_now + kBeatPause;
   const std::string body = EncodeBeat({m_address, m_term->journal().epoch(), m_term->journal().sequence()});
-  const auto silent = std::erase_if(m_followers, [this](const auto& entry) {
-    return m_now - entry.second.heard_at > kFollowerSilence;
-  });
+  const auto silent = std::erase_if(
+      m_followers, [this](const auto& entry) { return m_now - entry.second.heard_at > kFollowerSilence; });
   if (silent > 0) UpdateAgents();
   for (auto& [address, follower] : m_followers) {
     if (follower.is_beat_open) continue;
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -36,8 +36,8 @@
   bool was_sent = true;
   HttpResponse response;
 };
-using PeerSend = std::function<void(const std::string& address, HttpRequest, Time deadline,
-                                    std::function<void(PeerResult)> done)>;
+using PeerSend =
+    std::function<void(const std::string& address, HttpRequest, Time deadline, std::function<void(PeerResult)> done)>;
 
 /// One entry instance: relays its clients' calls to the leader, makes policy calls for it, and leads when it must.
 ///
@@ -108,6 +108,7 @@
   Time m_leader_heard_at{};
   bool m_is_stopping = false;
   std::string m_successor;
+  std::uint64_t m_call_count = 0;
 };
 
 }  // namespace jaymast
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -19,19 +19,20 @@
 
 CellTerm::CellTerm(StateStore& store, Scheduler::Ports ports, const LeaderRecord& record, std::int64_t version,
                    Time now, const MakeFeeds& make_feeds, std::function<void()> request_tick,
-                   std::function<void()> deposed)
+                   const std::function<void()>& deposed)
     : m_store(store),
       m_events(ports.events),
       m_request_tick(std::move(request_tick)),
       m_now(now),
-      m_scheduler(ports, record.epoch, now,
-                  [this] {
-                    m_journal.MarkDirty();
-                    m_request_tick();
-                  }),
+      m_scheduler(
+          ports, record.epoch, now,
+          [this] {
+            m_journal.MarkDirty();
+            m_request_tick();
+          },
+          deposed),
       m_journal(
-          store, record, version, [this] { return m_is_loaded ? m_scheduler.Collect() : JournalBatch{}; },
-          std::move(deposed)),
+          store, record, version, [this] { return m_is_loaded ? m_scheduler.Collect() : JournalBatch{}; }, deposed),
       m_feeds(make_feeds(*this)),
       m_load_table(kJobTable) {}
 
@@ -40,16 +41,16 @@
   m_journal.OnTick(now);
   if (!m_are_jobs_loaded && !m_is_reading && now >= m_next_load) Load(m_load_table, m_load_from);
   m_feeds->OnTick(now);
-  m_scheduler.SetStanding({m_journal.confirmed_at(), m_journal.IsStalled(now, kStallBound),
-                           m_journal.store_now_ms(now), unix_now_ms});
+  m_scheduler.SetStanding(
+      {m_journal.confirmed_at(), m_journal.IsStalled(now, kStallBound), m_journal.store_now_ms(now), unix_now_ms});
   if (!m_is_loaded) return;
   m_scheduler.OnTick(now);
   m_journal.OnTick(now);
 }
 
-void CellTerm::OnClientCall(ClientCall call, ClientReplyFunction reply) {
+void CellTerm::OnClientCall(const ClientCall& call, const ClientReplyFunction& reply) {
   if (!m_is_loaded) return reply({ClientOutcome::kNotLeader});
-  m_scheduler.OnClientCall(std::move(call), std::move(reply));
+  m_scheduler.OnClientCall(call, reply);
 }
 
 void CellTerm::OnConfig(std::shared_ptr<const CellConfig> config) {
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -22,10 +22,10 @@
   using MakeFeeds = std::function<std::unique_ptr<CellFeeds>(FeedListener&)>;
 
   CellTerm(StateStore& store, Scheduler::Ports ports, const LeaderRecord& record, std::int64_t version, Time now,
-           const MakeFeeds& make_feeds, std::function<void()> request_tick, std::function<void()> deposed);
+           const MakeFeeds& make_feeds, std::function<void()> request_tick, const std::function<void()>& deposed);
 
   void OnTick(Time now, std::int64_t unix_now_ms);
-  void OnClientCall(ClientCall call, ClientReplyFunction reply);
+  void OnClientCall(const ClientCall& call, const ClientReplyFunction& reply);
   void SetAgents(const std::vector<std::string>& addresses) { m_scheduler.SetAgents(addresses); }
   /// Ends the term after everything accepted so far is in the store.
   void HandOver(const std::string& successor) { m_journal.HandOver(successor); }
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -85,8 +85,8 @@
 std::string EncodeAnswer(const PolicyAnswer& answer) {
   json::array tickets;
   for (const auto& [id, ticket] : answer.tickets) tickets.push_back(json::array{id.value(), ticket});
-  return json::serialize(json::object{
-      {"answered", answer.is_answered}, {"ticket_ms", answer.ticket_ms}, {"tickets", std::move(tickets)}});
+  return json::serialize(
+      json::object{{"answered", answer.is_answered}, {"ticket_ms", answer.ticket_ms}, {"tickets", std::move(tickets)}});
 }
 
 std::optional<PolicyAnswer> DecodeAnswer(std::string_view text) {
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -19,8 +19,8 @@
   /// Result of one attempt at the leader.
   struct Attempt {
     bool is_answered = false;
-    bool was_sent = true;        ///< the call may have been received
-    bool is_undecided = false;   ///< the instance asked is not the leader, or is not sure
+    bool was_sent = true;       ///< the call may have been received
+    bool is_undecided = false;  ///< the instance asked is not the leader, or is not sure
     HttpResponse response;
   };
   struct Ports {
@@ -53,7 +53,7 @@
     Time next_attempt{};
     Time attempt_deadline{};
     std::uint64_t attempt = 0;
-    bool is_open = false;      ///< an attempt waits for its answer
+    bool is_open = false;  ///< an attempt waits for its answer
     bool may_have_run = false;
     bool is_done = false;
   };
--- a/src/jobs/cell_config.h
+++ b/src/jobs/cell_config.h
@@ -27,21 +27,21 @@
   QueueId id;
   std::string host;
   std::string prefix;
-  ServiceId service;                     ///< upstreams that run the queue's tasks
-  std::int64_t priority = 0;             ///< 0 comes first
-  std::int64_t max_attempts = 1;         ///< failed runs of a task after which the job has failed
-  double stretch = 1;                    ///< allowed factor on the longest chain of work
-  std::int64_t target_duration_ms = 0;   ///< allowed on top of the stretched chain
-  std::int64_t request_timeout_ms = 0;   ///< bound of a client's call
-  bool is_public = false;                ///< no key is asked for
-  std::optional<PolicyTerms> policy;     ///< set when tickets are needed
+  ServiceId service;                    ///< upstreams that run the queue's tasks
+  std::int64_t priority = 0;            ///< 0 comes first
+  std::int64_t max_attempts = 1;        ///< failed runs of a task after which the job has failed
+  double stretch = 1;                   ///< allowed factor on the longest chain of work
+  std::int64_t target_duration_ms = 0;  ///< allowed on top of the stretched chain
+  std::int64_t request_timeout_ms = 0;  ///< bound of a client's call
+  bool is_public = false;               ///< no key is asked for
+  std::optional<PolicyTerms> policy;    ///< set when tickets are needed
 };
 
 struct TeamConfig {
   TeamId id;
   std::vector<std::string> keys;
-  double weight = 1;   ///< share when all is full; jobs a second that are always owed an answer
-  Resources limit;     ///< most that may run at a time; 0 means no limit
+  double weight = 1;  ///< share when all is full; jobs a second that are always owed an answer
+  Resources limit;    ///< most that may run at a time; 0 means no limit
 };
 
 struct ServiceConfig {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -93,12 +93,13 @@
   QueueId queue;
   TeamId team;  ///< organisation of the client
   JobSpec spec;
+  std::string call_id;  ///< of the call with which the job was accepted
   JobState state = JobState::kPending;
   JobState shown = JobState::kPending;  ///< committed state, the only one that clients see
   std::vector<Occurrence> occurrences;
   bool has_started = false;  ///< a task has begun
   Time accepted{};
-  Time objective{};  ///< latest completion that counts as timely
+  Time objective{};   ///< latest completion that counts as timely
   Time late_bound{};  ///< latest completion that is worth something
   double work_core_s = 0;
   std::int64_t recorded_at_ms = 0;  ///< clock of the store at the acceptance
--- a/src/jobs/job_record.cc
+++ b/src/jobs/job_record.cc
@@ -114,6 +114,7 @@
   out["at"] = job.recorded_at_ms;
   if (IsFinal(job.state)) return json::serialize(out);
   out["p"] = job.spec.payload;
+  if (!job.call_id.empty()) out["c"] = job.call_id;
   json::array steps;
   for (const StepSpec& step : job.spec.steps) steps.push_back(EncodeStep(step));
   out["steps"] = std::move(steps);
@@ -162,6 +163,7 @@
   job.state = reader.Enum("s", JobState::kPending);
   job.shown = job.state;
   job.recorded_at_ms = reader.Int("at", 0, 0, kMaxAmount);
+  job.call_id = reader.String("c", "", kMaxTextBytes);
   job.spec.payload = reader.String("p", "", kMaxTextBytes);
   if (const json::array* steps = reader.Array("steps")) {
     for (const json::value& step : *steps) {
