Take over sooner and wait less while answers are lost

Changed: beats carry the version of the leader row, a refused connection or the own address in the row shorten the silence, lists are waited for 0.25 s while answers are lost, and ended terms ignore late answers. Ruled out: the policy service; its queue was empty in the worst windows.

--- a/src/cell/journal.cc
+++ b/src/cell/journal.cc
@@ -20,6 +20,7 @@
                  std::function<void()> deposed)
     : m_store(store),
       m_record(std::move(record)),
+      m_committed_record(m_record),
       m_guard_version(guard_version),
       m_collect(std::move(collect)),
       m_deposed(std::move(deposed)) {}
@@ -97,6 +98,7 @@
 
 void Journal::OnCommitted(std::int64_t version) {
   m_guard_version = version;
+  m_committed_record = m_record;
   // The transaction may have taken effect as early as its first copy was sent.
   m_confirmed_at = m_first_sent_at;
   m_failing_since.reset();
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -42,7 +42,9 @@
   bool is_handed_over() const { return m_is_handed_over; }
   bool is_idle() const { return !m_in_flight && !m_is_dirty; }
   std::uint64_t epoch() const { return m_record.epoch; }
-  std::uint64_t sequence() const { return m_record.sequence; }
+  /// The leader row as of the last transaction that certainly took effect.
+  const LeaderRecord& committed_record() const { return m_committed_record; }
+  std::int64_t committed_version() const { return m_guard_version; }
 
   /// When the last transaction that took effect was sent: no other leader existed at that time.
   Time confirmed_at() const { return m_confirmed_at; }
@@ -56,7 +58,8 @@
   void OnCommitted(std::int64_t version);
 
   StateStore& m_store;
-  LeaderRecord m_record;
+  LeaderRecord m_record;            ///< as of the last transaction sent
+  LeaderRecord m_committed_record;  ///< as of the last transaction that took effect
   std::int64_t m_guard_version;
   const Collect m_collect;
   const std::function<void()> m_deposed;
--- a/src/cell/leadership.cc
+++ b/src/cell/leadership.cc
@@ -1,5 +1,6 @@
 #include "cell/leadership.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jaymast {
@@ -26,14 +27,22 @@
   Read(now);
 }
 
-void Leadership::OnLeaderProgress(const std::string& address, std::uint64_t epoch, std::uint64_t sequence, Time now) {
-  if (m_is_leader || epoch < m_leader.epoch) return;
-  if (epoch == m_leader.epoch && sequence <= m_leader.sequence && address == m_leader.address) return;
-  m_leader.epoch = epoch;
-  m_leader.sequence = sequence;
-  m_leader.address = address;
+void Leadership::OnLeaderProgress(const LeaderRecord& record, std::int64_t version, Time now) {
+  if (m_is_leader || record.epoch < m_leader.epoch) return;
+  m_is_refused = false;
+  if (record.epoch == m_leader.epoch && record.sequence <= m_leader.sequence && record.address == m_leader.address) {
+    return;
+  }
+  m_leader = record;
   m_progress_at = now;
-  m_version.reset();
+  m_version = version;
+  m_version_seen_at = now;
+}
+
+void Leadership::OnLeaderRefused(Time now) {
+  m_is_refused = true;
+  m_progress_at = Time{};
+  m_next_read = std::min(m_next_read, now);
 }
 
 void Leadership::ReadSoon() {
@@ -79,7 +88,10 @@
   if (m_is_retired) return;
   const bool is_vacant = m_leader.address.empty();
   if (is_vacant && (version == 0 || m_leader.successor == m_address)) return Campaign();
-  const Duration silence = (is_vacant ? kSuccessorLead : kTakeoverSilence) + kRankPause * m_rank;
+  // A row with the address of this instance is left over from an earlier process at it.
+  if (m_leader.address == m_address) return Campaign();
+  const Duration needed = is_vacant ? kSuccessorLead : (m_is_refused ? kRefusedSilence : kTakeoverSilence);
+  const Duration silence = needed + kRankPause * m_rank;
   if (sent_at - m_version_seen_at >= silence) Campaign();
 }
 
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -27,8 +27,12 @@
 
   void OnTick(Time now);
 
-  /// The leader has shown progress over a peer connection.
-  void OnLeaderProgress(const std::string& address, std::uint64_t epoch, std::uint64_t sequence, Time now);
+  /// The leader has told over a peer connection what its last transaction was.
+  /// @param version of the leader row
+  void OnLeaderProgress(const LeaderRecord& record, std::int64_t version, Time now);
+
+  /// Nobody listens at the address of the leader, so a shorter silence is enough.
+  void OnLeaderRefused(Time now);
 
   /// Reads the row at the next tick, because the leader is said to have handed over.
   void ReadSoon();
@@ -47,9 +51,11 @@
   Time progress_at() const { return m_progress_at; }
 
   /// The row must be unchanged for this time; above three times the idle pause of the journal.
-  static constexpr Duration kTakeoverSilence{850'000};
+  static constexpr Duration kTakeoverSilence{750'000};
+  /// Silence that is enough when nobody listens at the address of the leader; above the idle pause of the journal.
+  static constexpr Duration kRefusedSilence{350'000};
   /// Progress over the peer connections makes reading the row unnecessary for this time.
-  static constexpr Duration kProgressSilence{600'000};
+  static constexpr Duration kProgressSilence{500'000};
 
  private:
   void Read(Time now);
@@ -68,6 +74,7 @@
   std::optional<std::int64_t> m_version;  ///< of the row as last read; 0 when absent
   Time m_version_seen_at{};               ///< when the row was first read with this version
   Time m_progress_at{};
+  bool m_is_refused = false;  ///< nobody listens at the address of the leader
   Time m_next_read{};
   Time m_now{};
 };
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -29,7 +29,8 @@
 /// What the leader knows of its own standing, refreshed at each tick.
 struct LeaderStanding {
   Time confirmed_at{};            ///< no other leader existed at this time
-  bool is_store_stalled = false;  ///< the store does not answer; nothing can be accepted
+  bool is_store_stalled = false;  ///< the store does not answer this leader
+  bool is_store_out = false;      ///< for so long that another instance can't reach it either
   std::int64_t store_now_ms = 0;
   std::int64_t unix_now_ms = 0;  ///< time of day, which may jump
 };
@@ -66,6 +67,8 @@
   void OnListComplete(const std::set<UpstreamId>& listed);
 
   void SetAgents(const std::vector<std::string>& addresses) { m_desk.SetAgents(addresses); }
+  /// Makes all callbacks ineffective.
+  void Retire() { m_is_retired = true; }
   void SetStanding(const LeaderStanding& standing) { m_standing = standing; }
 
   void OnClientCall(const ClientCall& call, const ClientReplyFunction& reply);
@@ -182,7 +185,9 @@
   std::map<QueueId, double> m_allowed_share;  ///< learned share of upstreams that the policy allows
   std::map<UpstreamId, int> m_reserved;       ///< for waiting gangs, within one pass
   std::uint64_t m_token_counter = 0;
+  bool m_is_retired = false;
   bool m_needs_placing = true;
+  Time m_order_lost_at{};  ///< when an order or sync last had no answer
   Time m_next_place{};
 };
 
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -79,7 +79,7 @@
 
 void Scheduler::OnStartReply(const TaskKey& key, std::int32_t run, std::uint64_t token, const OrderReply& reply) {
   TaskState* task = FindTask(key);
-  if (task == nullptr || task->run != run || task->phase != TaskPhase::kStarting) return;
+  if (m_is_retired || task == nullptr || task->run != run || task->phase != TaskPhase::kStarting) return;
   Job& job = *FindJob(key.job);
   UpstreamState& upstream = m_upstreams[task->upstream];
   const bool is_gang = job.spec.steps[key.step].is_gang;
@@ -99,6 +99,7 @@
     return;
   }
   if (reply.status == OrderStatus::kUnknown) {
+    m_order_lost_at = m_now;
     if (task->send_attempts < kMaxSendAttempts && token == upstream.token) return SendStart(key, run);
     return Fence(upstream, token);
   }
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -271,7 +271,7 @@
                                const PolicyAnswer& answer) {
   Job* job = FindJob(step_key.job);
   m_needs_placing = true;
-  if (job == nullptr || FindTask(step_key) == nullptr) return;
+  if (m_is_retired || job == nullptr || FindTask(step_key) == nullptr) return;
   StepState& step = StepOf(*job, step_key);
   --step.open_advice_calls;
   step.next_advice = m_now + kAskPause;
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -11,6 +11,10 @@
 
 /// An upstream answers a sync at an end, or after this time.
 constexpr std::int64_t kSyncWaitMs = 1000;
+/// While answers are lost, a lost one holds up the ends of its upstream for a shorter time.
+constexpr std::int64_t kSyncWaitLossyMs = 250;
+constexpr Duration kLossMemory{4'000'000};
+constexpr int kFailedSyncsToSuspect = 2;
 /// While ends wait to be stored a sync is answered at once, so it is repeated only to extend leases.
 constexpr Duration kUnstoredPause{300'000};
 /// Pause after a sync without an answer; grows with each failure up to the maximum.
@@ -61,7 +65,7 @@
 
 bool Scheduler::IsUsable(const UpstreamState& upstream) const {
   return upstream.is_listed && upstream.is_adopted && !upstream.listing.is_draining &&
-         upstream.listing.incarnation == upstream.incarnation && upstream.failed_syncs == 0 &&
+         upstream.listing.incarnation == upstream.incarnation && upstream.failed_syncs < kFailedSyncsToSuspect &&
          upstream.quarantined_until <= m_now && m_now - upstream.answered_at < kSuspectAfter &&
          !m_domains_out.contains(upstream.listing.domain);
 }
@@ -86,7 +90,8 @@
   order.lease_until_ms = extends_lease ? LeaseUntil(upstream) : 0;
   const bool needs_answer =
       !upstream.is_adopted || upstream.failed_syncs > 0 || has_unstored || upstream.sync_token != upstream.token;
-  order.wait_ms = needs_answer ? 0 : kSyncWaitMs;
+  const bool are_answers_lost = m_now - m_order_lost_at < kLossMemory;
+  order.wait_ms = needs_answer ? 0 : (are_answers_lost ? kSyncWaitLossyMs : kSyncWaitMs);
   upstream.is_syncing = true;
   upstream.sync_sent_at = m_now;
   upstream.sync_token = upstream.token;
@@ -96,12 +101,13 @@
 
 void Scheduler::OnSyncReply(const UpstreamId& id, std::uint64_t number, const SyncReply& reply) {
   UpstreamState* found = FindUpstream(id);
-  if (found == nullptr || found->sync_number != number) return;
+  if (m_is_retired || found == nullptr || found->sync_number != number) return;
   UpstreamState& upstream = *found;
   upstream.is_syncing = false;
   if (reply.status == OrderStatus::kFenced && upstream.sync_token == upstream.token) m_fenced();
   if (reply.status != OrderStatus::kAccepted) {
     ++upstream.failed_syncs;
+    if (reply.status == OrderStatus::kUnknown) m_order_lost_at = m_now;
     if (upstream.failed_syncs == 3) {
       m_ports.events.Emit("upstream.silent",
                           {{"upstream", id.value()}, {"reason", std::string(ToString(reply.status))}});
@@ -244,7 +250,7 @@
     upstream.last_failed_job = job.id.value();
     ++upstream.consecutive_failures;
   }
-  if (upstream.consecutive_failures >= kFailuresToQuarantine) {
+  if (upstream.consecutive_failures >= kFailuresToQuarantine && upstream.quarantined_until <= m_now) {
     m_ports.events.Emit("upstream.quarantined", {{"upstream", upstream.listing.id.value()}, {"reason", "failures"}});
     upstream.quarantined_until = m_now + kQuarantine;
   }
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -10,14 +10,18 @@
 namespace {
 
 /// The leader shows its progress to each follower this often.
-constexpr Duration kBeatPause{250'000};
+constexpr Duration kBeatPause{150'000};
+/// With many followers beats are rarer, so that their cost for the leader is bounded: 80 a second.
+constexpr Duration kBeatPausePerFollower{12'500};
 constexpr Duration kBeatTime{500'000};
 /// A follower that has not heard of its leader for this time announces itself again.
 constexpr Duration kHelloPause{300'000};
 /// A follower that did not answer for this time makes no policy calls.
 constexpr Duration kFollowerSilence{1'200'000};
 /// An instance that has not heard of a leader for this time sends its clients elsewhere.
-constexpr Duration kReadySilence{1'500'000};
+constexpr Duration kReadySilence{800'000};
+/// Calls are passed to a leader that has not been heard of for up to this time.
+constexpr Duration kLeaderSilence{1'500'000};
 /// A client's call is answered at the latest after this time, unless the client tells how long it waits.
 constexpr std::int64_t kDefaultPatienceMs = 3000;
 /// The answer must reach the client before it gives up.
@@ -85,7 +89,7 @@
   } else {
     const std::string& leader = m_leadership.leader_address();
     const bool is_known = !leader.empty() && leader != m_address;
-    m_relay.SetLeader(is_known && now - m_leader_heard_at < kReadySilence, leader, m_leadership.leader_epoch(), now);
+    m_relay.SetLeader(is_known && now - m_leader_heard_at < kLeaderSilence, leader, m_leadership.leader_epoch(), now);
     if (is_known && now >= m_next_hello && now - m_leader_heard_at > kHelloPause) SendHello();
   }
   m_relay.OnTick(now);
@@ -110,11 +114,12 @@
   m_ports.events.Emit("term.ended",
                       {{"epoch", std::to_string(m_term->journal().epoch())}, {"reason", std::string(reason)}});
   const bool is_handed_over = m_term->journal().is_handed_over();
+  m_term->Retire();
   m_ended_terms.emplace_back(m_now, std::move(m_term));
   m_leadership.OnDeposed(m_now);
   m_relay.SetLeader(false, "", 0, m_now);
   if (!is_handed_over || m_successor.empty()) return;
-  m_ports.send_peer(m_successor, PeerMessage(kBeatPath, EncodeBeat({"", 0, 0})), m_now + kBeatTime, [](PeerResult) {});
+  m_ports.send_peer(m_successor, PeerMessage(kBeatPath, EncodeBeat({})), m_now + kBeatTime, [](PeerResult) {});
 }
 
 void CellInstance::OnClientRequest(HttpRequest request, std::function<void(HttpResponse)> done) {
@@ -166,12 +171,11 @@
   }
   if (request.target == kBeatPath) {
     const std::optional<Beat> beat = DecodeBeat(request.body);
-    if (beat && beat->leader.empty()) {
+    if (beat && beat->record.address.empty()) {
       m_leadership.ReadSoon();
       m_ports.request_tick();
-    } else if (beat && m_term == nullptr && beat->epoch >= m_leadership.leader_epoch()) {
-      m_leader_heard_at = m_now;
-      m_leadership.OnLeaderProgress(beat->leader, beat->epoch, beat->sequence, m_now);
+    } else if (beat) {
+      OnBeat(*beat);
     }
     return done({kStatusNoContent, {}, ""});
   }
@@ -182,7 +186,7 @@
     if (entry.joined_at == Time{}) entry.joined_at = m_now;
     entry.heard_at = m_now;
     UpdateAgents();
-    return done({kStatusOk, {}, EncodeBeat({m_address, m_term->journal().epoch(), m_term->journal().sequence()})});
+    return done({kStatusOk, {}, EncodeBeat(OwnBeat())});
   }
   if (request.target == kAdvisePath) {
     const std::optional<PolicyQuestion> question = DecodeQuestion(request.body);
@@ -206,8 +210,8 @@
 }
 
 void CellInstance::SendBeats() {
-  m_next_beat = m_now + kBeatPause;
-  const std::string body = EncodeBeat({m_address, m_term->journal().epoch(), m_term->journal().sequence()});
+  m_next_beat = m_now + std::max(kBeatPause, kBeatPausePerFollower * static_cast<std::int64_t>(m_followers.size()));
+  const std::string body = EncodeBeat(OwnBeat());
   const auto silent = std::erase_if(
       m_followers, [this](const auto& entry) { return m_now - entry.second.heard_at > kFollowerSilence; });
   if (silent > 0) UpdateAgents();
@@ -228,14 +232,22 @@
   m_next_hello = m_now + kHelloPause;
   m_ports.send_peer(m_leadership.leader_address(), PeerMessage(kHelloPath, EncodeHello(m_address)), m_now + kBeatTime,
                     [this](const PeerResult& result) {
-                      if (!result.is_answered || result.response.status != kStatusOk || m_term != nullptr) return;
-                      const std::optional<Beat> beat = DecodeBeat(result.response.body);
-                      if (!beat || beat->epoch < m_leadership.leader_epoch()) return;
-                      m_leader_heard_at = m_now;
-                      m_leadership.OnLeaderProgress(beat->leader, beat->epoch, beat->sequence, m_now);
+                      if (!result.was_sent) m_leadership.OnLeaderRefused(m_now);
+                      if (!result.is_answered || result.response.status != kStatusOk) return;
+                      if (const std::optional<Beat> beat = DecodeBeat(result.response.body)) OnBeat(*beat);
                     });
 }
 
+Beat CellInstance::OwnBeat() const {
+  return {m_term->journal().committed_record(), m_term->journal().committed_version()};
+}
+
+void CellInstance::OnBeat(const Beat& beat) {
+  if (m_term != nullptr || beat.record.epoch < m_leadership.leader_epoch()) return;
+  m_leader_heard_at = m_now;
+  m_leadership.OnLeaderProgress(beat.record, beat.version, m_now);
+}
+
 void CellInstance::UpdateAgents() {
   if (m_term == nullptr) return;
   std::vector<std::string> agents = {""};
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -13,6 +13,7 @@
 #include "cell/policy_port.h"
 #include "cell/state_store.h"
 #include "instance/cell_term.h"
+#include "instance/peer_codec.h"
 #include "instance/relay.h"
 #include "net/http_message.h"
 
@@ -86,6 +87,8 @@
   void SendToLeader(const std::string& address, const HttpRequest& request, Time deadline,
                     const std::function<void(Relay::Attempt)>& done);
   void AnswerClient(const HttpRequest& request, const std::function<void(HttpResponse, bool is_undecided)>& done);
+  Beat OwnBeat() const;
+  void OnBeat(const Beat& beat);
   void SendBeats();
   void SendHello();
   void UpdateAgents();
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -12,8 +12,10 @@
 constexpr const char* kProgressTable = "progress";
 /// Pause before a failed read of the recorded jobs is repeated.
 constexpr Duration kLoadRetryPause{50'000};
-/// An outage of the store above this time turns new jobs away at once.
+/// While the store is silent for this time, another instance may be about to take over.
 constexpr Duration kStallBound{350'000};
+/// An outage of the store above this time turns new jobs away at once: a takeover would have happened.
+constexpr Duration kOutageBound{1'300'000};
 
 }  // namespace
 
@@ -41,8 +43,8 @@
   m_journal.OnTick(now);
   if (!m_are_jobs_loaded && !m_is_reading && now >= m_next_load) Load(m_load_table, m_load_from);
   m_feeds->OnTick(now);
-  m_scheduler.SetStanding(
-      {m_journal.confirmed_at(), m_journal.IsStalled(now, kStallBound), m_journal.store_now_ms(now), unix_now_ms});
+  m_scheduler.SetStanding({m_journal.confirmed_at(), m_journal.IsStalled(now, kStallBound),
+                           m_journal.IsStalled(now, kOutageBound), m_journal.store_now_ms(now), unix_now_ms});
   if (!m_is_loaded) return;
   m_scheduler.OnTick(now);
   m_journal.OnTick(now);
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -30,6 +30,9 @@
   /// Ends the term after everything accepted so far is in the store.
   void HandOver(const std::string& successor) { m_journal.HandOver(successor); }
 
+  /// Ignores everything that is still on its way.
+  void Retire() { m_scheduler.Retire(); }
+
   const Journal& journal() const { return m_journal; }
   const Scheduler& scheduler() const { return m_scheduler; }
   bool is_loaded() const { return m_is_loaded; }
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -27,19 +27,17 @@
 }  // namespace
 
 std::string EncodeBeat(const Beat& beat) {
-  return json::serialize(json::object{{"leader", beat.leader}, {"epoch", beat.epoch}, {"sequence", beat.sequence}});
+  return json::serialize(json::object{{"record", EncodeLeaderRecord(beat.record)}, {"version", beat.version}});
 }
 
 std::optional<Beat> DecodeBeat(std::string_view text) {
   const std::optional<json::object> object = ParseObject(text);
   if (!object) return std::nullopt;
   FieldReader reader(*object, "beat");
-  Beat beat;
-  beat.leader = reader.String("leader", "", kMaxTextBytes);
-  beat.epoch = static_cast<std::uint64_t>(reader.Int("epoch", 0, 0, kMaxInt));
-  beat.sequence = static_cast<std::uint64_t>(reader.Int("sequence", 0, 0, kMaxInt));
-  if (reader.error()) return std::nullopt;
-  return beat;
+  const std::optional<LeaderRecord> record = DecodeLeaderRecord(reader.RequiredString("record", kMaxTextBytes));
+  const std::int64_t version = reader.Int("version", 0, 0, kMaxInt);
+  if (reader.error() || !record) return std::nullopt;
+  return Beat{*record, version};
 }
 
 std::string EncodeHello(const std::string& address) { return json::serialize(json::object{{"address", address}}); }
--- a/src/instance/peer_codec.h
+++ b/src/instance/peer_codec.h
@@ -5,15 +5,15 @@
 #include <string>
 #include <string_view>
 
+#include "cell/leader_record.h"
 #include "cell/policy_port.h"
 
 namespace jaymast {
 
 /// Shows a follower who leads and that the leader makes progress.
 struct Beat {
-  std::string leader;  ///< peer address; empty tells that the leader has handed over
-  std::uint64_t epoch = 0;
-  std::uint64_t sequence = 0;
+  LeaderRecord record;       ///< an empty address tells that the leader has handed over
+  std::int64_t version = 0;  ///< of the leader row
 };
 
 std::string EncodeBeat(const Beat& beat);
