--- a/src/cell/leadership.cc
+++ b/src/cell/leadership.cc
@@ -11,13 +11,15 @@
 /// Instances of rank 0 to 7 start their attempts this much apart, so that most need not write.
 constexpr Duration kRankPause{15'000};
 constexpr std::uint64_t kRanks = 8;
+/// Weak instances leave this much time to the others.
+constexpr Duration kWeakPause{400'000};
 /// Others leave the named successor this much time after a handover.
 constexpr Duration kSuccessorLead{250'000};
 
 }  // namespace
 
-Leadership::Leadership(StateStore& store, std::string address, std::uint64_t rank, Won won)
-    : m_store(store), m_address(std::move(address)), m_rank(rank % kRanks), m_won(std::move(won)) {}
+Leadership::Leadership(StateStore& store, std::string address, std::uint64_t rank, bool is_weak, Won won)
+    : m_store(store), m_address(std::move(address)), m_lead(kRankPause * static_cast<std::int64_t>(rank % kRanks) + (is_weak ? kWeakPause : Duration::zero())), m_won(std::move(won)) {}
 
 void Leadership::OnTick(Time now) {
   m_now = now;
@@ -89,9 +91,10 @@
   const bool is_vacant = m_leader.address.empty();
   if (is_vacant && (version == 0 || m_leader.successor == m_address)) return Campaign();
   // A row with the address of this instance is left over from an earlier process at it.
-  if (m_leader.address == m_address) return Campaign();
+  const bool is_strong = m_lead < kWeakPause;
+  if (m_leader.address == m_address && is_strong) return Campaign();
   const Duration needed = is_vacant ? kSuccessorLead : (m_is_refused ? kRefusedSilence : kTakeoverSilence);
-  const Duration silence = needed + kRankPause * m_rank;
+  const Duration silence = needed + m_lead;
   if (sent_at - m_version_seen_at >= silence) Campaign();
 }
 
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -23,7 +23,8 @@
 
   /// @param address peer address of this instance
   /// @param rank spreads the attempts of instances over time
-  Leadership(StateStore& store, std::string address, std::uint64_t rank, Won won);
+  /// @param is_weak whether the instance leads only if no stronger one does
+  Leadership(StateStore& store, std::string address, std::uint64_t rank, bool is_weak, Won won);
 
   void OnTick(Time now);
 
@@ -64,7 +65,7 @@
 
   StateStore& m_store;
   const std::string m_address;
-  const std::uint64_t m_rank;
+  const Duration m_lead;  ///< time that this instance leaves to others
   const Won m_won;
   bool m_is_leader = false;
   bool m_is_retired = false;
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -13,7 +13,8 @@
 constexpr Duration kMaxConfigAge{1'700'000};
 /// Answers that need no write are given only while no other leader can have written for this long.
 constexpr Duration kMaxUnconfirmed{1'200'000};
-constexpr std::int64_t kStoreRetryAfterS = 2;
+/// The end of an outage is not known; clients wait 3 s in all, so a longer pause would cost them most of it.
+constexpr std::int64_t kStoreRetryAfterS = 1;
 constexpr std::int64_t kMaxTasksOfStep = 10'000;
 
 }  // namespace
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -30,6 +30,11 @@
 constexpr Duration kEndedTermLife{12'000'000};
 /// Time beyond the expected one that a policy call of another instance may take.
 constexpr std::int64_t kPolicyMarginMs = 600;
+/// An instance below this processor share leads only if no stronger one does: a leader uses 0.2 cores at 350 upstreams.
+constexpr std::int64_t kStrongCpuMillis = 200;
+/// A leader yields to a follower with this many times its processor share, but not right after a takeover.
+constexpr std::int64_t kStrongerFactor = 2;
+constexpr Duration kYieldAfter{1'500'000};
 constexpr const char* kBeatPath = "/peer/beat";
 constexpr const char* kHelloPath = "/peer/hello";
 constexpr const char* kAdvisePath = "/peer/advise";
@@ -59,15 +64,16 @@
   CellInstance& m_instance;
 };
 
-CellInstance::CellInstance(Ports ports, std::string address, std::uint64_t rank, Time now)
+CellInstance::CellInstance(Ports ports, std::string address, std::int64_t cpu_millis, std::uint64_t rank, Time now)
     : m_ports(std::move(ports)),
       m_address(std::move(address)),
+      m_cpu_millis(cpu_millis),
       m_now(now),
       m_started_at(now),
       m_relay({[this](const std::string& leader, const HttpRequest& request, Time deadline,
                       std::function<void(Relay::Attempt)> done) { SendToLeader(leader, request, deadline, done); },
                [this](bool may_have_run) { return m_ports.codec.GiveUp(may_have_run); }}),
-      m_leadership(m_ports.store, m_address, rank,
+      m_leadership(m_ports.store, m_address, rank, cpu_millis < kStrongCpuMillis,
                    [this](const LeaderRecord& record, std::int64_t version) { BeginTerm(record, version); }),
       m_peer_policy(std::make_unique<PeerPolicy>(*this)) {}
 
@@ -84,6 +90,7 @@
   if (m_is_deposed) EndTerm("another instance took over");
   if (m_term != nullptr) {
     if (now >= m_next_beat) SendBeats();
+    YieldToStronger();
     m_relay.SetLeader(true, "", m_term->journal().epoch(), now);
     m_leader_heard_at = now;
   } else {
@@ -99,6 +106,8 @@
 void CellInstance::BeginTerm(const LeaderRecord& record, std::int64_t version) {
   m_ports.events.Emit("term.begun", {{"epoch", std::to_string(record.epoch)}});
   m_is_deposed = false;
+  m_term_began_at = m_now;
+  m_successor.clear();
   m_followers.clear();
   m_term = std::make_unique<CellTerm>(
       m_ports.store, Scheduler::Ports{m_ports.upstreams, *m_peer_policy, m_ports.events}, record, version, m_now,
@@ -180,9 +189,10 @@
     return done({kStatusNoContent, {}, ""});
   }
   if (request.target == kHelloPath) {
-    const std::optional<std::string> follower = DecodeHello(request.body);
+    const std::optional<Hello> follower = DecodeHello(request.body);
     if (m_term == nullptr || !follower) return done({kStatusConflict, {}, ""});
-    Follower& entry = m_followers[*follower];
+    Follower& entry = m_followers[follower->address];
+    entry.cpu_millis = follower->cpu_millis;
     if (entry.joined_at == Time{}) entry.joined_at = m_now;
     entry.heard_at = m_now;
     UpdateAgents();
@@ -230,7 +240,7 @@
 
 void CellInstance::SendHello() {
   m_next_hello = m_now + kHelloPause;
-  m_ports.send_peer(m_leadership.leader_address(), PeerMessage(kHelloPath, EncodeHello(m_address)), m_now + kBeatTime,
+  m_ports.send_peer(m_leadership.leader_address(), PeerMessage(kHelloPath, EncodeHello({m_address, m_cpu_millis})), m_now + kBeatTime,
                     [this](const PeerResult& result) {
                       if (!result.was_sent) m_leadership.OnLeaderRefused(m_now);
                       if (!result.is_answered || result.response.status != kStatusOk) return;
@@ -261,15 +271,30 @@
   m_leadership.Retire();
   m_ports.events.Emit("instance.stopping", {{"open_calls", std::to_string(m_relay.open_calls())}});
   if (m_term == nullptr) return;
+  m_successor = ChooseSuccessor();
+  m_term->HandOver(m_successor);
+  m_ports.request_tick();
+}
+
+std::string CellInstance::ChooseSuccessor() const {
   // The follower that joined last is the least likely to be restarted next in a rolling restart.
-  Time newest{};
+  std::string best;
+  std::pair<std::int64_t, Time> best_key{};
   for (const auto& [address, follower] : m_followers) {
-    if (follower.joined_at < newest) continue;
-    newest = follower.joined_at;
-    m_successor = address;
+    const std::pair<std::int64_t, Time> key{follower.cpu_millis, follower.joined_at};
+    if (!best.empty() && key < best_key) continue;
+    best_key = key;
+    best = address;
   }
-  m_term->HandOver(m_successor);
-  m_ports.request_tick();
+  return best;
+}
+
+void CellInstance::YieldToStronger() {
+  if (!m_successor.empty() || m_is_stopping || m_now - m_term_began_at < kYieldAfter) return;
+  const std::string successor = ChooseSuccessor();
+  if (successor.empty() || m_followers[successor].cpu_millis < kStrongerFactor * m_cpu_millis) return;
+  m_successor = successor;
+  m_term->HandOver(successor);
 }
 
 bool CellInstance::is_ready() const {
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -57,7 +57,8 @@
   };
 
   /// @param address peer address of this instance
-  CellInstance(Ports ports, std::string address, std::uint64_t rank, Time now);
+  /// @param cpu_millis processor share of this instance in thousandths of a core
+  CellInstance(Ports ports, std::string address, std::int64_t cpu_millis, std::uint64_t rank, Time now);
   ~CellInstance();
 
   void OnTick(Time now, std::int64_t unix_now_ms);
@@ -78,6 +79,7 @@
   class PeerPolicy;
   struct Follower {
     Time heard_at{};
+    std::int64_t cpu_millis = 0;
     Time joined_at{};  ///< when its process began to follow this leader
     bool is_beat_open = false;
   };
@@ -92,10 +94,13 @@
   void SendBeats();
   void SendHello();
   void UpdateAgents();
+  void YieldToStronger();
+  std::string ChooseSuccessor() const;
   void Ask(const std::string& agent, const PolicyQuestion& question, std::function<void(PolicyAnswer)> done);
 
   Ports m_ports;
   const std::string m_address;
+  const std::int64_t m_cpu_millis;
   Time m_now;
   std::int64_t m_unix_now_ms = 0;
   const Time m_started_at;
@@ -106,6 +111,7 @@
   std::vector<std::pair<Time, std::unique_ptr<CellTerm>>> m_ended_terms;  ///< open calls still refer to them
   bool m_is_deposed = false;
   std::map<std::string, Follower> m_followers;
+  Time m_term_began_at{};
   Time m_next_beat{};
   Time m_next_hello{};
   Time m_leader_heard_at{};
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -40,15 +40,19 @@
   return Beat{*record, version};
 }
 
-std::string EncodeHello(const std::string& address) { return json::serialize(json::object{{"address", address}}); }
+std::string EncodeHello(const Hello& hello) {
+  return json::serialize(json::object{{"address", hello.address}, {"cpu_millis", hello.cpu_millis}});
+}
 
-std::optional<std::string> DecodeHello(std::string_view text) {
+std::optional<Hello> DecodeHello(std::string_view text) {
   const std::optional<json::object> object = ParseObject(text);
   if (!object) return std::nullopt;
   FieldReader reader(*object, "hello");
-  std::string address = reader.RequiredString("address", kMaxTextBytes);
+  Hello hello;
+  hello.address = reader.RequiredString("address", kMaxTextBytes);
+  hello.cpu_millis = reader.Int("cpu_millis", 0, 0, kMaxInt);
   if (reader.error()) return std::nullopt;
-  return address;
+  return hello;
 }
 
 std::string EncodeQuestion(const PolicyQuestion& question) {
--- a/src/instance/peer_codec.h
+++ b/src/instance/peer_codec.h
@@ -19,9 +19,14 @@
 std::string EncodeBeat(const Beat& beat);
 std::optional<Beat> DecodeBeat(std::string_view text);
 
-/// Announces a follower by its peer address.
-std::string EncodeHello(const std::string& address);
-std::optional<std::string> DecodeHello(std::string_view text);
+/// Announces a follower.
+struct Hello {
+  std::string address;         ///< peer address
+  std::int64_t cpu_millis = 0;  ///< processor share of the instance in thousandths of a core
+};
+
+std::string EncodeHello(const Hello& hello);
+std::optional<Hello> DecodeHello(std::string_view text);
 
 std::string EncodeQuestion(const PolicyQuestion& question);
 std::optional<PolicyQuestion> DecodeQuestion(std::string_view text);
