Play schedules of faults against the instances, and mend what they found

Added: a fake store, upstreams, policy service and network on a fake clock, scenario tests and seeded schedules of faults. RelayTest.RefusalOfAnEarlierLeaderIsNotFinal fails without the change.

--- a/src/cell/journal.cc
+++ b/src/cell/journal.cc
@@ -17,13 +17,14 @@
 }  // namespace
 
 Journal::Journal(StateStore& store, LeaderRecord record, std::int64_t guard_version, Collect collect,
-                 std::function<void()> deposed)
+                 std::function<void()> deposed, std::function<void()> request_tick)
     : m_store(store),
       m_record(std::move(record)),
       m_committed_record(m_record),
       m_guard_version(guard_version),
       m_collect(std::move(collect)),
-      m_deposed(std::move(deposed)) {}
+      m_deposed(std::move(deposed)),
+      m_request_tick(std::move(request_tick)) {}
 
 void Journal::HandOver(std::string successor) {
   m_wants_handover = true;
@@ -33,6 +34,11 @@
 void Journal::OnTick(Time now) {
   m_now = now;
   if (m_is_deposed || m_is_handed_over) return;
+  if (m_reply) {
+    const StateCommitReply reply = *std::exchange(m_reply, std::nullopt);
+    OnReply(reply);
+    if (m_is_deposed || m_is_handed_over) return;
+  }
   if (m_in_flight) {
     if (now - m_sent_at > kSlowAnswer && !m_failing_since) m_failing_since = m_sent_at;
     return;
@@ -67,12 +73,14 @@
 void Journal::Send(Time now) {
   m_in_flight = true;
   m_sent_at = now;
-  m_store.Commit(*m_transaction,
-                 [this, attempt = ++m_attempt](const StateCommitReply& reply) { OnReply(attempt, reply); });
+  m_store.Commit(*m_transaction, [this, attempt = ++m_attempt](const StateCommitReply& reply) {
+    if (attempt != m_attempt) return;
+    m_reply = reply;
+    m_request_tick();
+  });
 }
 
-void Journal::OnReply(std::uint64_t attempt, const StateCommitReply& reply) {
-  if (attempt != m_attempt || m_is_deposed) return;
+void Journal::OnReply(const StateCommitReply& reply) {
   m_in_flight = false;
   if (reply.now_ms > 0) {
     m_store_now_ms = reply.now_ms;
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -28,7 +28,7 @@
 
   /// @param record the leader row as it was written by the takeover, with its version
   Journal(StateStore& store, LeaderRecord record, std::int64_t guard_version, Collect collect,
-          std::function<void()> deposed);
+          std::function<void()> deposed, std::function<void()> request_tick);
 
   /// Asks for a transaction soon.
   void MarkDirty() { m_is_dirty = true; }
@@ -54,7 +54,7 @@
 
  private:
   void Send(Time now);
-  void OnReply(std::uint64_t attempt, const StateCommitReply& reply);
+  void OnReply(const StateCommitReply& reply);
   void OnCommitted(std::int64_t version);
 
   StateStore& m_store;
@@ -63,6 +63,7 @@
   std::int64_t m_guard_version;
   const Collect m_collect;
   const std::function<void()> m_deposed;
+  const std::function<void()> m_request_tick;
   std::optional<StateTransaction> m_transaction;  ///< sent and not known to have taken effect
   std::function<void()> m_committed;
   bool m_in_flight = false;
@@ -73,6 +74,7 @@
   bool m_is_handed_over = false;
   std::string m_successor;
   std::uint64_t m_attempt = 0;
+  std::optional<StateCommitReply> m_reply;  ///< handled by the next tick, as a process may have stood still
   Time m_now{};
   Time m_sent_at{};
   Time m_first_sent_at{};
--- a/src/cell/leadership.cc
+++ b/src/cell/leadership.cc
@@ -19,7 +19,10 @@
 }  // namespace
 
 Leadership::Leadership(StateStore& store, std::string address, std::uint64_t rank, bool is_weak, Won won)
-    : m_store(store), m_address(std::move(address)), m_lead(kRankPause * static_cast<std::int64_t>(rank % kRanks) + (is_weak ? kWeakPause : Duration::zero())), m_won(std::move(won)) {}
+    : m_store(store),
+      m_address(std::move(address)),
+      m_lead(kRankPause * static_cast<std::int64_t>(rank % kRanks) + (is_weak ? kWeakPause : Duration::zero())),
+      m_won(std::move(won)) {}
 
 void Leadership::OnTick(Time now) {
   m_now = now;
--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -87,6 +87,7 @@
 
 void Scheduler::OnTick(Time now) {
   m_now = now;
+  SendPostponed();
   for (auto& [id, upstream] : m_upstreams) SyncIfDue(upstream);
   for (auto it = m_active.begin(); it != m_active.end();) {
     Job& job = *m_jobs[*it++];
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -72,6 +72,8 @@
   void SetStanding(const LeaderStanding& standing) { m_standing = standing; }
 
   void OnClientCall(const ClientCall& call, const ClientReplyFunction& reply);
+  /// Sets the time for everything that comes before the next tick.
+  void SetNow(Time now) { m_now = now; }
   void OnTick(Time now);
 
   /// Rows that have changed since the last call.
@@ -125,6 +127,7 @@
   // scheduler_orders.cc
   void Assign(Job& job, const TaskKey& key, const UpstreamId& upstream);
   void SendStart(const TaskKey& key, std::int32_t run);
+  void SendPostponed();
   void OnStartReply(const TaskKey& key, std::int32_t run, std::uint64_t token, const OrderReply& reply);
   void Unassign(Job& job, const TaskKey& key, TaskState& task, std::string_view reason);
   void StopTask(Job& job, const TaskKey& key, TaskState& task, std::string_view reason);
@@ -187,7 +190,8 @@
   std::uint64_t m_token_counter = 0;
   bool m_is_retired = false;
   bool m_needs_placing = true;
-  Time m_order_lost_at{};  ///< when an order or sync last had no answer
+  std::vector<std::pair<TaskKey, std::int32_t>> m_postponed;  ///< starts that wait until this leader is confirmed
+  Time m_order_lost_at{};                                     ///< when an order or sync last had no answer
   Time m_next_place{};
 };
 
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -14,6 +14,8 @@
 /// Leases end at most this long after the leader was last confirmed, so a successor knows when work that it can't reach
 /// is over.
 constexpr Duration kLeaseBeyondStanding{10'000'000};
+/// A start is sent only if no other leader existed this long ago; above the time of a commit in a slow store.
+constexpr Duration kMaxStartUnconfirmed{1'000'000};
 /// An unanswered start is sent again this often before the upstream is fenced.
 constexpr std::int32_t kMaxSendAttempts = 3;
 }  // namespace
@@ -43,6 +45,11 @@
   TaskState* task = FindTask(key);
   if (task == nullptr || task->run != run) return;
   if (task->phase != TaskPhase::kAssigned && task->phase != TaskPhase::kStarting) return;
+  if (m_now - m_standing.confirmed_at > kMaxStartUnconfirmed) {
+    // Another leader may have taken over while this process stood still, and a restarted upstream knows no fence.
+    m_postponed.emplace_back(key, run);
+    return;
+  }
   Job& job = *FindJob(key.job);
   UpstreamState& upstream = m_upstreams[task->upstream];
   StepState& step = StepOf(job, key);
@@ -77,6 +84,12 @@
   });
 }
 
+void Scheduler::SendPostponed() {
+  if (m_postponed.empty() || m_now - m_standing.confirmed_at > kMaxStartUnconfirmed) return;
+  const auto postponed = std::exchange(m_postponed, {});
+  for (const auto& [key, run] : postponed) SendStart(key, run);
+}
+
 void Scheduler::OnStartReply(const TaskKey& key, std::int32_t run, std::uint64_t token, const OrderReply& reply) {
   TaskState* task = FindTask(key);
   if (m_is_retired || task == nullptr || task->run != run || task->phase != TaskPhase::kStarting) return;
@@ -100,7 +113,11 @@
   }
   if (reply.status == OrderStatus::kUnknown) {
     m_order_lost_at = m_now;
-    if (task->send_attempts < kMaxSendAttempts && token == upstream.token) return SendStart(key, run);
+    if (task->send_attempts < kMaxSendAttempts && token == upstream.token) {
+      // Sent by the next tick: this process may have stood still before it handled the answer.
+      m_postponed.emplace_back(key, run);
+      return;
+    }
     return Fence(upstream, token);
   }
   m_ports.events.Emit("start.refused", {{"task", FormatTaskKey(key)},
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -14,6 +14,8 @@
 /// While answers are lost, a lost one holds up the ends of its upstream for a shorter time.
 constexpr std::int64_t kSyncWaitLossyMs = 250;
 constexpr Duration kLossMemory{4'000'000};
+/// An upstream can't have been started again and finished a run within this time after an answer.
+constexpr Duration kSameLife{150'000};
 constexpr int kFailedSyncsToSuspect = 2;
 /// While ends wait to be stored a sync is answered at once, so it is repeated only to extend leases.
 constexpr Duration kUnstoredPause{300'000};
@@ -84,12 +86,15 @@
   const bool has_unstored = !upstream.ends.empty();
   SyncOrder order;
   order.target = {id, upstream.listing.address, upstream.token};
-  order.acknowledged_end = upstream.acknowledged_end;
+  // After a pause the upstream may be a new life, whose ends have the same numbers and are not known yet.
+  const bool is_same_life = upstream.failed_syncs == 0 && m_now - upstream.answered_at < kSameLife;
+  order.acknowledged_end = is_same_life ? upstream.acknowledged_end : 0;
   // An upstream that does not answer gets no further lease, so that its work is surely over at some time.
   const bool extends_lease = upstream.is_adopted && upstream.clock_ms > 0 && upstream.failed_syncs == 0;
   order.lease_until_ms = extends_lease ? LeaseUntil(upstream) : 0;
-  const bool needs_answer =
-      !upstream.is_adopted || upstream.failed_syncs > 0 || has_unstored || upstream.sync_token != upstream.token;
+  const bool acknowledges_later = order.acknowledged_end != upstream.acknowledged_end;
+  const bool needs_answer = acknowledges_later || !upstream.is_adopted || upstream.failed_syncs > 0 || has_unstored ||
+                            upstream.sync_token != upstream.token;
   const bool are_answers_lost = m_now - m_order_lost_at < kLossMemory;
   order.wait_ms = needs_answer ? 0 : (are_answers_lost ? kSyncWaitLossyMs : kSyncWaitMs);
   upstream.is_syncing = true;
@@ -201,7 +206,7 @@
   const bool is_current = task->run == row.run && task->upstream == upstream.listing.id && HoldsRoom(task->phase);
   if (!is_current) {
     const bool counts = row.kind == EndKind::kDone && task->run == row.run && task->phase == TaskPhase::kWaiting &&
-                        !spec.is_gang && !IsFinal(job->state);
+                        !IsFinal(job->state);
     if (!counts) {
       upstream.ends[row.number] = true;
       return;
--- /dev/null
+++ b/src/cell_testing/cell_world.h
@@ -0,0 +1,395 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell_testing/event_queue.h"
+#include "cell_testing/fake_store.h"
+#include "cell_testing/fake_upstream.h"
+#include "instance/cell_instance.h"
+
+namespace jaymast {
+
+/// Reads and writes the messages of the fake clients: "<job> <tasks> <cpu> <payload words>" in the body.
+class FakeClientCodec : public ClientCodec {
+ public:
+  ClientCall Decode(const HttpRequest& request) const override {
+    ClientCall call;
+    call.path = request.target;
+    const std::string_view key = FindHeader(request.headers, "Key");
+    if (!key.empty()) call.key = std::string(key);
+    if (request.method == "POST") {
+      call.action = ClientAction::kSubmit;
+      JobSpec spec;
+      spec.payload = request.body;
+      StepSpec step;
+      const auto number = [&request](const std::string& name, std::int64_t fallback) {
+        const std::size_t at = request.body.find(name + "=");
+        return at == std::string::npos ? fallback : std::stoll(request.body.substr(at + name.size() + 1));
+      };
+      step.task_count = number("tasks", 1);
+      step.demand = Resources{number("cpu", 1000), 100, 0, 0};
+      step.estimate_ms = number("ms", 500);
+      step.is_gang = request.body.find("gang") != std::string::npos;
+      spec.steps.push_back(step);
+      for (std::int64_t i = 1; i < number("steps", 1); ++i) {
+        step.after = {static_cast<std::size_t>(i - 1)};
+        spec.steps.push_back(step);
+      }
+      call.spec = std::move(spec);
+    } else if (request.method == "DELETE") {
+      call.action = ClientAction::kCancel;
+    }
+    return call;
+  }
+  HttpResponse Encode(const ClientCall& /*call*/, const ClientReply& reply) const override {
+    HttpResponse response;
+    response.status = static_cast<int>(reply.outcome);
+    response.body = std::string(ToString(reply.state));
+    return response;
+  }
+  std::int64_t PatienceMs(const HttpRequest& /*request*/) const override { return 0; }
+  HttpResponse GiveUp(bool may_have_run) const override { return {may_have_run ? kMayHaveRun : kNotRun, {}, ""}; }
+
+  static constexpr int kMayHaveRun = 504;
+  static constexpr int kNotRun = 503;
+};
+
+/// Prints events with fake time when JAYMAST_TEST_EVENTS is set, to trace a failed schedule.
+class TraceEvents : public CellEventSink {
+ public:
+  explicit TraceEvents(const EventQueue& queue) : m_queue(queue) {}
+  void Emit(std::string_view event, EventFields fields) override {
+    if (!m_is_enabled) return;
+    std::cout << ToMillis(m_queue.now().time_since_epoch()) << " " << event;
+    for (const auto& [name, value] : fields) std::cout << " " << name << "=" << value;
+    std::cout << "\n";
+  }
+
+ private:
+  const EventQueue& m_queue;
+  const bool m_is_enabled = std::getenv("JAYMAST_TEST_EVENTS") != nullptr;
+};
+
+/// Several instances with a store, upstreams and a policy service, all fake and on one fake clock.
+class CellWorld {
+ public:
+  static constexpr Duration kTick{10'000};
+  static constexpr Duration kPeerLatency{1'000};
+  static constexpr Duration kOrderTimeout{250'000};
+
+  struct Instance {
+    std::string address;
+    std::unique_ptr<FakeStoreLink> store;
+    std::unique_ptr<CellInstance> cell;
+    std::unique_ptr<UpstreamPort> upstreams;
+    std::unique_ptr<PolicyPort> policy;
+    FakeClientCodec codec;
+    bool is_up = true;
+    bool is_frozen = false;
+    std::set<std::string> cut_from;  ///< peers and upstreams that can't be reached
+    std::uint64_t life = 0;
+  };
+
+  explicit CellWorld(int instances, int upstreams, std::int64_t cpu_millis = 8000) : store(queue) {
+    config = std::make_shared<CellConfig>();
+    config->version = 1;
+    QueueConfig jobs;
+    jobs.id = QueueId("q");
+    jobs.prefix = "/q/";
+    jobs.service = ServiceId("s");
+    jobs.max_attempts = 3;
+    jobs.stretch = 4;
+    jobs.target_duration_ms = 5000;
+    config->queues.push_back(jobs);
+    config->teams[TeamId("team")] = TeamConfig{TeamId("team"), {"key"}, 1000, {}};
+    config->team_of_key["key"] = TeamId("team");
+    for (int i = 0; i < upstreams; ++i) {
+      UpstreamListing listing;
+      listing.id = UpstreamId("u" + std::to_string(i));
+      listing.service = ServiceId("s");
+      listing.address = listing.id.value();
+      listing.domain = DomainId("d" + std::to_string(i % 3));
+      listing.capacity = Resources{cpu_millis, 100'000, 0, 0};
+      listing.incarnation = 1;
+      fleet.push_back(std::make_unique<FakeUpstream>(queue, record, listing));
+    }
+    for (int i = 0; i < instances; ++i) {
+      this->instances.push_back(std::make_unique<Instance>());
+      Instance& instance = *this->instances.back();
+      instance.address = "i" + std::to_string(i);
+      instance.store = std::make_unique<FakeStoreLink>(queue, store);
+      instance.upstreams = std::make_unique<FleetPort>(*this, instance);
+      instance.policy = std::make_unique<FakePolicy>(*this);
+      Boot(instance);
+    }
+  }
+
+  void Run(Duration time) { queue.RunUntil(queue.now() + time); }
+
+  void Kill(int index) {
+    Instance& instance = At(index);
+    instance.is_up = false;
+    ++instance.life;
+    m_dead.push_back(std::move(instance.cell));
+  }
+
+  void Restart(int index) { Boot(At(index)); }
+
+  int Leader() const {
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+      const Instance& instance = *instances[i];
+      if (instance.is_up && instance.cell->is_leader() && instance.cell->term()->is_loaded())
+        return static_cast<int>(i);
+    }
+    return -1;
+  }
+
+  /// Sends a call of a client to an instance. The status appears in `answers`.
+  void Call(int index, const std::string& method, const std::string& job, const std::string& body = "",
+            const std::string& key = "key") {
+    HttpRequest request;
+    request.method = method;
+    request.target = "/q/" + job;
+    request.body = body;
+    request.headers = {{"Key", key}};
+    Instance& instance = At(index);
+    if (!instance.is_up) return;
+    instance.cell->OnClientRequest(std::move(request), [this, method, job](const HttpResponse& response) {
+      answers[method + " " + job].push_back(response);
+    });
+  }
+
+  int LastStatus(const std::string& call) const {
+    const auto found = answers.find(call);
+    return found == answers.end() ? -1 : found->second.back().status;
+  }
+  std::string LastBody(const std::string& call) const {
+    const auto found = answers.find(call);
+    return found == answers.end() ? "" : found->second.back().body;
+  }
+
+  Instance& At(int index) { return *instances[static_cast<std::size_t>(index)]; }
+  FakeUpstream* FindUpstream(const std::string& address) {
+    for (const auto& upstream : fleet) {
+      if (upstream->listing().address == address) return upstream.get();
+    }
+    return nullptr;
+  }
+
+  EventQueue queue;
+  FakeStore store;
+  FleetRecord record;
+  std::shared_ptr<CellConfig> config;
+  std::set<DomainId> domains_out;
+  std::vector<std::unique_ptr<FakeUpstream>> fleet;
+  std::vector<std::unique_ptr<Instance>> instances;
+  std::map<std::string, std::vector<HttpResponse>> answers;
+  std::function<bool(const StartOrder&)> loses_start;         ///< the order does not arrive
+  std::function<bool(const StartOrder&)> loses_start_answer;  ///< the order is carried out without an answer
+  std::function<Duration(const StartOrder&)> start_delay;     ///< an order without an answer arrives late
+  std::function<OrderStatus(const StartOrder&)> refuses_start;
+  int policy_calls = 0;
+
+ private:
+  class FleetPort : public UpstreamPort {
+   public:
+    FleetPort(CellWorld& world, Instance& instance) : m_world(world), m_instance(instance) {}
+
+    void Start(const StartOrder& order, std::function<void(OrderReply)> done) override {
+      FakeUpstream* upstream = Reach(order.target);
+      const bool is_lost = upstream == nullptr || (m_world.loses_start && m_world.loses_start(order));
+      const auto late = m_world.start_delay ? m_world.start_delay(order) : Duration::zero();
+      if (late > Duration::zero() && upstream != nullptr) {
+        // Orders that wait inside an upstream are lost with its process.
+        m_world.queue.After(late, [upstream, order, life = upstream->listing().incarnation] {
+          if (upstream->listing().incarnation == life) upstream->Start(order, WorkOf(order));
+        });
+      }
+      if (is_lost || late > Duration::zero()) return Later(kOrderTimeout, [done] { done({}); });
+      if (m_world.refuses_start) {
+        const OrderStatus status = m_world.refuses_start(order);
+        if (status != OrderStatus::kAccepted) return Later(kPeerLatency, [done, status] { done({status, 0}); });
+      }
+      m_world.queue.After(kPeerLatency, [this, upstream, order, done] {
+        const OrderReply reply = upstream->Start(order, WorkOf(order));
+        const bool is_silent = m_world.loses_start_answer && m_world.loses_start_answer(order);
+        Later(is_silent ? kOrderTimeout : kPeerLatency,
+              [done, reply, is_silent] { done(is_silent ? OrderReply{} : reply); });
+      });
+    }
+
+    void Stop(const StopOrder& order, std::function<void(OrderReply)> done) override {
+      FakeUpstream* upstream = Reach(order.target);
+      if (upstream == nullptr) return Later(kOrderTimeout, [done] { done({}); });
+      m_world.queue.After(kPeerLatency, [this, upstream, order, done] {
+        const OrderReply reply = upstream->Stop(order);
+        Later(kPeerLatency, [done, reply] { done(reply); });
+      });
+    }
+
+    void Sync(const SyncOrder& order, std::function<void(SyncReply)> done) override {
+      FakeUpstream* upstream = Reach(order.target);
+      const Duration limit = kOrderTimeout + std::chrono::milliseconds(order.wait_ms);
+      auto is_done = std::make_shared<bool>(false);
+      const auto once = [done, is_done](const SyncReply& reply) {
+        if (std::exchange(*is_done, true)) return;
+        done(reply);
+      };
+      Later(limit, [once] { once({}); });
+      if (upstream == nullptr) return;
+      m_world.queue.After(kPeerLatency, [this, upstream, order, once] {
+        upstream->Sync(order, [this, upstream, once](const SyncReply& reply) {
+          if (!upstream->is_reachable) return;
+          Later(kPeerLatency, [once, reply] { once(reply); });
+        });
+      });
+    }
+
+   private:
+    static FakeWork WorkOf(const StartOrder& order) {
+      FakeWork work;
+      const auto number = [&order](const std::string& name, std::int64_t fallback) {
+        const std::size_t at = order.payload.find(name + "=");
+        return at == std::string::npos ? fallback : std::stoll(order.payload.substr(at + name.size() + 1));
+      };
+      work.run_time = std::chrono::milliseconds(number("ms", 500));
+      work.demand = Resources{number("cpu", 1000), 100, 0, 0};
+      work.fails = order.payload.find("fails") != std::string::npos;
+      work.hangs = order.payload.find("hangs") != std::string::npos;
+      return work;
+    }
+
+    FakeUpstream* Reach(const UpstreamTarget& target) {
+      FakeUpstream* upstream = m_world.FindUpstream(target.address);
+      if (upstream == nullptr || !upstream->is_reachable || m_instance.cut_from.contains(target.address))
+        return nullptr;
+      return upstream;
+    }
+
+    /// Calls back unless the process has ended.
+    void Later(Duration delay, std::function<void()> action) { m_world.LaterFor(m_instance, delay, std::move(action)); }
+
+    CellWorld& m_world;
+    Instance& m_instance;
+  };
+
+  class FakePolicy : public PolicyPort {
+   public:
+    explicit FakePolicy(CellWorld& world) : m_world(world) {}
+    void Ask(const std::string& /*agent*/, const PolicyQuestion& question,
+             std::function<void(PolicyAnswer)> done) override {
+      ++m_world.policy_calls;
+      PolicyAnswer answer;
+      answer.is_answered = true;
+      answer.ticket_ms = 2000;
+      for (const UpstreamId& id : question.upstreams) answer.tickets.emplace_back(id, "ticket");
+      m_world.queue.After(std::chrono::milliseconds(question.expected_ms), [done, answer] { done(answer); });
+    }
+
+   private:
+    CellWorld& m_world;
+  };
+
+  class FakeFeeds : public CellFeeds {
+   public:
+    FakeFeeds(CellWorld& world, Instance& instance, FeedListener& listener)
+        : m_world(world), m_instance(instance), m_listener(listener) {}
+    void OnTick(Time now) override {
+      if (m_instance.store->fault != StoreFault::kNone || now < m_next) return;
+      m_next = now + std::chrono::milliseconds(100);
+      m_listener.OnConfig(std::make_shared<const CellConfig>(*m_world.config));
+      m_listener.OnDomainsOut(m_world.domains_out);
+      std::set<UpstreamId> listed;
+      for (const auto& upstream : m_world.fleet) {
+        if (!upstream->is_reachable) continue;
+        m_listener.OnUpstreamListed(upstream->listing());
+        listed.insert(upstream->listing().id);
+      }
+      m_listener.OnListComplete(listed);
+      m_listener.OnConfigCurrent(now);
+    }
+
+   private:
+    CellWorld& m_world;
+    Instance& m_instance;
+    FeedListener& m_listener;
+    Time m_next{};
+  };
+
+  void LaterFor(Instance& instance, Duration delay, std::function<void()> action) {
+    queue.After(delay, [this, &instance, life = instance.life, action = std::move(action)]() mutable {
+      if (instance.life != life) return;
+      // A frozen process handles what came in meanwhile when it wakes.
+      if (instance.is_frozen) return LaterFor(instance, kTick, std::move(action));
+      action();
+    });
+  }
+
+  void Boot(Instance& instance) {
+    instance.is_up = true;
+    ++instance.life;
+    CellInstance::Ports ports{*instance.store,
+                              *instance.upstreams,
+                              *instance.policy,
+                              m_events,
+                              instance.codec,
+                              [this, &instance](const std::string& address, HttpRequest request, Time deadline,
+                                                const std::function<void(PeerResult)>& done) {
+                                SendPeer(instance, address, std::move(request), deadline, done);
+                              },
+                              [this, &instance](FeedListener& listener) -> std::unique_ptr<CellFeeds> {
+                                return std::make_unique<FakeFeeds>(*this, instance, listener);
+                              },
+                              [] {}};
+    const std::uint64_t rank = static_cast<std::uint64_t>(instance.address.back() - '0');
+    instance.cell = std::make_unique<CellInstance>(std::move(ports), instance.address, 250, rank, queue.now());
+    Tick(instance, instance.life);
+  }
+
+  void Tick(Instance& instance, std::uint64_t life) {
+    if (instance.life != life) return;
+    if (!instance.is_frozen) instance.cell->OnTick(queue.now(), ToMillis(queue.now().time_since_epoch()));
+    queue.After(kTick, [this, &instance, life] { Tick(instance, life); });
+  }
+
+  void SendPeer(Instance& from, const std::string& address, HttpRequest request, Time deadline,
+                const std::function<void(PeerResult)>& done) {
+    auto is_done = std::make_shared<bool>(false);
+    const auto once = [done, is_done](const PeerResult& result) {
+      if (std::exchange(*is_done, true)) return;
+      done(result);
+    };
+    LaterFor(from, std::max(Duration(1), deadline - queue.now()), [once] { once({}); });
+    Instance* target = nullptr;
+    for (const auto& instance : instances) {
+      if (instance->address == address) target = instance.get();
+    }
+    if (target == nullptr || from.cut_from.contains(address) || target->cut_from.contains(from.address)) return;
+    if (!target->is_up) {
+      PeerResult refused;
+      refused.was_sent = false;
+      return LaterFor(from, kPeerLatency, [once, refused] { once(refused); });
+    }
+    LaterFor(*target, kPeerLatency, [this, &from, target, request = std::move(request), once]() mutable {
+      target->cell->OnPeerRequest(std::move(request), [this, &from, once](HttpResponse response) {
+        LaterFor(from, kPeerLatency, [once, response] { once({true, true, response}); });
+      });
+    });
+  }
+
+  TraceEvents m_events{queue};
+  std::vector<std::unique_ptr<CellInstance>> m_dead;  ///< callbacks on their way refer to them
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell_testing/fake_store.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "cell/state_store.h"
+#include "cell_testing/event_queue.h"
+
+namespace jaymast {
+
+/// Rows of the fake platform, shared by all instances of a test.
+class FakeStore {
+ public:
+  explicit FakeStore(EventQueue& queue) : m_queue(queue) {}
+
+  StateCommitReply Apply(const StateTransaction& transaction) {
+    const std::pair guard{transaction.guard_table, transaction.guard_key};
+    const auto found = m_rows.find(guard);
+    const std::int64_t version = found == m_rows.end() ? 0 : found->second.version;
+    StateCommitReply reply;
+    reply.now_ms = ToMillis(m_queue.now().time_since_epoch());
+    if (version != transaction.guard_version) {
+      reply.status = StateStatus::kConflict;
+      if (found != m_rows.end()) reply.guard = found->second;
+      return reply;
+    }
+    ++m_version;
+    ++transactions;
+    for (const StateWrite& write : transaction.writes) {
+      if (write.value) {
+        m_rows[{write.table, write.key}] = {write.table, write.key, *write.value, m_version};
+      } else {
+        m_rows.erase({write.table, write.key});
+      }
+    }
+    reply.status = StateStatus::kDone;
+    reply.version = m_version;
+    return reply;
+  }
+
+  StateScanReply Read(const std::string& table, const std::string& from, const std::string& to) const {
+    StateScanReply reply;
+    reply.is_available = true;
+    reply.version = m_version;
+    reply.now_ms = ToMillis(m_queue.now().time_since_epoch());
+    for (auto it = m_rows.lower_bound({table, from}); it != m_rows.end() && it->first.first == table; ++it) {
+      if (!to.empty() && it->first.second >= to) break;
+      if (reply.rows.size() == kPageRows) {
+        reply.has_more = true;
+        break;
+      }
+      reply.rows.push_back(it->second);
+    }
+    return reply;
+  }
+
+  /// Rows in a page; small, so that tests read several pages.
+  static constexpr std::size_t kPageRows = 20;
+
+  int transactions = 0;
+
+ private:
+  EventQueue& m_queue;
+  std::int64_t m_version = 0;
+  std::map<std::pair<std::string, std::string>, StateRow> m_rows;
+};
+
+/// What is wrong with the store, as one instance sees it.
+enum class StoreFault { kNone, kSilent, kRefusing, kAnswerLost, kAppliedLate };
+
+/// The way of one instance to the store.
+class FakeStoreLink : public StateStore {
+ public:
+  FakeStoreLink(EventQueue& queue, FakeStore& store) : m_queue(queue), m_store(store) {}
+
+  void Commit(const StateTransaction& transaction, std::function<void(StateCommitReply)> done) override {
+    switch (fault) {
+      case StoreFault::kSilent:
+        return m_queue.After(kTimeout, [done] { done({}); });
+      case StoreFault::kRefusing: {
+        StateCommitReply refused;
+        refused.status = StateStatus::kRefused;
+        return m_queue.After(kLatency, [done, refused] { done(refused); });
+      }
+      case StoreFault::kAnswerLost:
+        m_queue.After(kLatency, [this, transaction] { m_store.Apply(transaction); });
+        return m_queue.After(kTimeout, [done] { done({}); });
+      case StoreFault::kAppliedLate:
+        m_queue.After(kLateBy, [this, transaction] { m_store.Apply(transaction); });
+        return m_queue.After(kTimeout, [done] { done({}); });
+      case StoreFault::kNone:
+        break;
+    }
+    m_queue.After(kLatency, [this, transaction, done] { done(m_store.Apply(transaction)); });
+  }
+
+  void Scan(const std::string& table, const std::string& from, const std::string& to,
+            std::function<void(StateScanReply)> done) override {
+    if (fault == StoreFault::kSilent || fault == StoreFault::kRefusing) {
+      return m_queue.After(fault == StoreFault::kSilent ? kTimeout : kLatency, [done] { done({}); });
+    }
+    m_queue.After(kLatency, [this, table, from, to, done] { done(m_store.Read(table, from, to)); });
+  }
+
+  StoreFault fault = StoreFault::kNone;
+
+ private:
+  static constexpr Duration kLatency{5'000};
+  static constexpr Duration kTimeout{900'000};
+  static constexpr Duration kLateBy{2'500'000};
+
+  EventQueue& m_queue;
+  FakeStore& m_store;
+};
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/cell_testing/fake_upstream.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "cell/upstream_port.h"
+#include "cell_testing/event_queue.h"
+#include "jobs/job_record.h"
+#include "jobs/upstream_listing.h"
+
+namespace jaymast {
+
+/// What all upstreams of a test saw, and which guarantees were broken.
+struct FleetRecord {
+  std::map<TaskKey, int> running;  ///< runs at this moment
+  std::map<TaskKey, int> starts;
+  std::map<TaskKey, int> done;
+  std::set<TaskKey> acknowledged_done;
+  std::map<TaskKey, std::set<std::int32_t>> runs;
+  std::vector<std::string> violations;
+};
+
+/// A task's behaviour, by its payload: "ms=<run time>", and "fails" or "hangs".
+struct FakeWork {
+  Duration run_time{500'000};
+  Resources demand;
+  std::size_t gang_size = 0;  ///< members that must be present, 0 for a single task
+  bool fails = false;
+  bool hangs = false;
+};
+
+/// One runner: keeps leases, fences and ends as the platform's runners do.
+class FakeUpstream {
+ public:
+  FakeUpstream(EventQueue& queue, FleetRecord& record, UpstreamListing listing)
+      : m_queue(queue), m_record(record), m_listing(std::move(listing)) {}
+
+  const UpstreamListing& listing() const { return m_listing; }
+  UpstreamListing& listing() { return m_listing; }
+
+  OrderReply Start(const StartOrder& order, const FakeWork& work) {
+    Advance();
+    OrderReply reply{OrderStatus::kAccepted, Clock()};
+    if (order.target.token < m_token) return {OrderStatus::kFenced, Clock()};
+    m_token = order.target.token;
+    if (order.lease_until_ms <= Clock()) return {OrderStatus::kLate, Clock()};
+    ExtendLease(order.lease_until_ms);
+    const auto found = m_running.find(order.task);
+    if (found != m_running.end() && found->second.run == order.run) return reply;
+    if (m_highest_run[order.task] >= order.run) return {OrderStatus::kStaleRun, Clock()};
+    if (found != m_running.end()) return {OrderStatus::kStaleRun, Clock()};
+    Resources used = work.demand;
+    for (const auto& [key, run] : m_running) used += run.work.demand;
+    if (!used.FitsIn(m_listing.capacity)) Violate("capacity exceeded", order.task);
+    if (m_record.running[order.task] > 0) Violate("two runs at one time", order.task);
+    if (m_record.acknowledged_done.contains(order.task)) Violate("started after its end was acknowledged", order.task);
+    ++m_record.running[order.task];
+    ++m_record.starts[order.task];
+    m_record.runs[order.task].insert(order.run);
+    m_running[order.task] = {order.run, work, m_queue.now() + work.run_time};
+    m_queue.After(work.run_time + Duration(1), [this] { Advance(); });
+    return reply;
+  }
+
+  OrderReply Stop(const StopOrder& order) {
+    Advance();
+    if (order.target.token < m_token) return {OrderStatus::kFenced, Clock()};
+    m_token = order.target.token;
+    m_highest_run[order.task] = std::max(m_highest_run[order.task], order.run);
+    const auto found = m_running.find(order.task);
+    if (found != m_running.end() && found->second.run == order.run) End(order.task, EndKind::kStopped);
+    return {OrderStatus::kAccepted, Clock()};
+  }
+
+  /// Answers now, or calls `done` at the next end or after the wait.
+  void Sync(const SyncOrder& order, const std::function<void(SyncReply)>& done) {
+    Advance();
+    if (order.target.token < m_token) {
+      SyncReply reply;
+      reply.status = OrderStatus::kFenced;
+      return done(reply);
+    }
+    m_token = order.target.token;
+    if (order.lease_until_ms > 0) ExtendLease(order.lease_until_ms);
+    while (!m_ends.empty() && m_ends.front().number <= order.acknowledged_end) {
+      if (m_ends.front().kind == EndKind::kDone && !m_lapsed_since_end.contains(m_ends.front().number)) {
+        m_record.acknowledged_done.insert(m_ends.front().task);
+      }
+      m_ends.erase(m_ends.begin());
+    }
+    if (!m_ends.empty() || order.wait_ms == 0) return done(List());
+    const std::uint64_t number = ++m_wait_count;
+    m_waiting[number] = done;
+    m_queue.After(std::chrono::milliseconds(order.wait_ms), [this, number] { AnswerWait(number); });
+  }
+
+  /// The process dies and comes back knowing nothing.
+  void Restart() {
+    for (const auto& [key, run] : m_running) --m_record.running[key];
+    m_running.clear();
+    m_ends.clear();
+    m_waiting.clear();
+    m_highest_run.clear();
+    m_lapsed_since_end.clear();
+    m_token = 0;
+    m_last_end = 0;
+    ++m_listing.incarnation;
+    m_started_at = m_queue.now();
+    m_lease_until_ms = 0;
+  }
+
+  /// Applies what has happened until now.
+  void Advance() {
+    if (Clock() >= m_lease_until_ms) {
+      for (const EndRow& end : m_ends) m_lapsed_since_end.insert(end.number);
+      const auto running = m_running;
+      for (const auto& [key, run] : running) End(key, EndKind::kLapsed);
+    }
+    const auto running = m_running;
+    for (const auto& [key, run] : running) {
+      if (run.work.hangs || m_queue.now() < run.ends_at || !m_running.contains(key)) continue;
+      End(key, run.work.fails ? EndKind::kFailed : EndKind::kDone);
+    }
+  }
+
+  bool is_reachable = true;
+
+ private:
+  struct Run {
+    std::int32_t run = 0;
+    FakeWork work;
+    Time ends_at{};
+  };
+
+  std::int64_t Clock() const { return 1 + ToMillis(m_queue.now() - m_started_at); }
+
+  void ExtendLease(std::int64_t until_ms) {
+    m_lease_until_ms = std::max(m_lease_until_ms, until_ms);
+    m_queue.After(std::chrono::milliseconds(std::max<std::int64_t>(1, until_ms - Clock())), [this] { Advance(); });
+  }
+
+  void End(const TaskKey& key, EndKind kind) {
+    const Run run = m_running.at(key);
+    m_running.erase(key);
+    m_highest_run[key] = std::max(m_highest_run[key], run.run);
+    --m_record.running[key];
+    if (kind == EndKind::kDone) ++m_record.done[key];
+    m_ends.push_back({++m_last_end, key, run.run, kind, ""});
+    const auto waiting = m_waiting;
+    for (const auto& [number, done] : waiting) AnswerWait(number);
+  }
+
+  void AnswerWait(std::uint64_t number) {
+    const auto found = m_waiting.find(number);
+    if (found == m_waiting.end()) return;
+    const auto done = found->second;
+    m_waiting.erase(found);
+    done(List());
+  }
+
+  SyncReply List() const {
+    SyncReply reply;
+    reply.status = OrderStatus::kAccepted;
+    reply.clock_ms = Clock();
+    reply.incarnation = m_listing.incarnation;
+    reply.ended = m_ends;
+    for (const auto& [key, run] : m_running) {
+      const auto left = std::max(Duration::zero(), run.ends_at - m_queue.now());
+      const auto percent =
+          run.work.hangs ? 10 : 100 - 100 * left.count() / std::max<std::int64_t>(1, run.work.run_time.count());
+      reply.running.push_back({key, run.run, "", static_cast<std::int32_t>(percent), 0});
+    }
+    return reply;
+  }
+
+  void Violate(const std::string& what, const TaskKey& task) {
+    m_record.violations.push_back(what + ": " + FormatTaskKey(task) + " on " + m_listing.id.value() + " at " +
+                                  std::to_string(ToMillis(m_queue.now().time_since_epoch())));
+  }
+
+  EventQueue& m_queue;
+  FleetRecord& m_record;
+  UpstreamListing m_listing;
+  std::uint64_t m_token = 0;
+  std::int64_t m_last_end = 0;
+  std::int64_t m_lease_until_ms = 0;
+  Time m_started_at{};
+  std::map<TaskKey, Run> m_running;
+  std::map<TaskKey, std::int32_t> m_highest_run;
+  std::vector<EndRow> m_ends;
+  std::set<std::int64_t> m_lapsed_since_end;
+  std::uint64_t m_wait_count = 0;
+  std::map<std::uint64_t, std::function<void(SyncReply)>> m_waiting;
+};
+
+}  // namespace jaymast
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -38,7 +38,6 @@
 constexpr const char* kBeatPath = "/peer/beat";
 constexpr const char* kHelloPath = "/peer/hello";
 constexpr const char* kAdvisePath = "/peer/advise";
-constexpr const char* kRelayedHeader = "Jaymast-Relayed-Host";
 constexpr const char* kCallIdHeader = "Jaymast-Call-Id";
 constexpr const char* kUndecidedHeader = "Jaymast-Undecided";
 
@@ -150,7 +149,6 @@
   }
   HttpRequest relayed = request;
   std::erase_if(relayed.headers, [](const auto& header) { return header.first == "Connection"; });
-  relayed.headers.emplace_back(kRelayedHeader, std::string(FindHeader(request.headers, "Host")));
   m_ports.send_peer(address, std::move(relayed), deadline, [done](PeerResult result) {
     const bool is_undecided = result.is_answered && !FindHeader(result.response.headers, kUndecidedHeader).empty();
     done({result.is_answered, result.was_sent, is_undecided, std::move(result.response)});
@@ -168,11 +166,7 @@
 }
 
 void CellInstance::OnPeerRequest(HttpRequest request, std::function<void(HttpResponse)> done) {
-  const std::string_view relayed_host = FindHeader(request.headers, kRelayedHeader);
-  if (!relayed_host.empty()) {
-    for (auto& [name, value] : request.headers) {
-      if (name == "Host") value = std::string(relayed_host);
-    }
+  if (!FindHeader(request.headers, kCallIdHeader).empty()) {
     return AnswerClient(request, [done](HttpResponse response, bool is_undecided) {
       if (is_undecided) response.headers.emplace_back(kUndecidedHeader, "1");
       done(std::move(response));
@@ -240,8 +234,8 @@
 
 void CellInstance::SendHello() {
   m_next_hello = m_now + kHelloPause;
-  m_ports.send_peer(m_leadership.leader_address(), PeerMessage(kHelloPath, EncodeHello({m_address, m_cpu_millis})), m_now + kBeatTime,
-                    [this](const PeerResult& result) {
+  m_ports.send_peer(m_leadership.leader_address(), PeerMessage(kHelloPath, EncodeHello({m_address, m_cpu_millis})),
+                    m_now + kBeatTime, [this](const PeerResult& result) {
                       if (!result.was_sent) m_leadership.OnLeaderRefused(m_now);
                       if (!result.is_answered || result.response.status != kStatusOk) return;
                       if (const std::optional<Beat> beat = DecodeBeat(result.response.body)) OnBeat(*beat);
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -34,12 +34,14 @@
           },
           deposed),
       m_journal(
-          store, record, version, [this] { return m_is_loaded ? m_scheduler.Collect() : JournalBatch{}; }, deposed),
+          store, record, version, [this] { return m_is_loaded ? m_scheduler.Collect() : JournalBatch{}; }, deposed,
+          m_request_tick),
       m_feeds(make_feeds(*this)),
       m_load_table(kJobTable) {}
 
 void CellTerm::OnTick(Time now, std::int64_t unix_now_ms) {
   m_now = now;
+  m_scheduler.SetNow(now);
   m_journal.OnTick(now);
   if (!m_are_jobs_loaded && !m_is_reading && now >= m_next_load) Load(m_load_table, m_load_from);
   m_feeds->OnTick(now);
--- a/src/instance/peer_codec.h
+++ b/src/instance/peer_codec.h
@@ -21,7 +21,7 @@
 
 /// Announces a follower.
 struct Hello {
-  std::string address;         ///< peer address
+  std::string address;          ///< peer address
   std::int64_t cpu_millis = 0;  ///< processor share of the instance in thousandths of a core
 };
 
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -46,8 +46,9 @@
   m_ports.send(m_address, call->request, call->attempt_deadline, [this, call, attempt](Attempt result) {
     if (call->is_done) return;
     if (result.was_sent && !result.is_undecided) call->may_have_run = true;
-    if (result.is_answered && !result.is_undecided) return Finish(call, std::move(result.response));
+    // A later attempt decides: an earlier leader may refuse what the new one accepts.
     if (attempt != call->attempt) return;
+    if (result.is_answered && !result.is_undecided) return Finish(call, std::move(result.response));
     call->is_open = false;
     call->next_attempt = m_now + kRetryPause;
   });
--- /dev/null
+++ b/src/instance/relay_test.cc
@@ -0,0 +1,106 @@
+#include "instance/relay.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jaymast {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kRefused = 503;
+constexpr int kMayHaveRun = 504;
+
+/// A relay whose attempts are answered by hand.
+class RelayTest : public testing::Test {
+ protected:
+  struct Sent {
+    std::string address;
+    std::function<void(Relay::Attempt)> done;
+  };
+
+  void Call() {
+    m_relay.OnCall({}, m_now, m_now + milliseconds(2800),
+                   [this](const HttpResponse& response) { m_statuses.push_back(response.status); });
+  }
+  void Tick(Duration time) {
+    m_now += time;
+    m_relay.SetLeader(m_is_known, m_leader, m_epoch, m_now);
+    m_relay.OnTick(m_now);
+  }
+  static Relay::Attempt Answer(int status) { return {true, true, false, {status, {}, ""}}; }
+
+  Time m_now{Duration(1'000'000)};
+  bool m_is_known = true;
+  std::string m_leader = "a";
+  std::uint64_t m_epoch = 1;
+  std::vector<Sent> m_sent;
+  std::vector<int> m_statuses;
+  Relay m_relay{
+      {[this](const std::string& address, const HttpRequest&, Time, std::function<void(Relay::Attempt)> done) {
+         m_sent.push_back({address, std::move(done)});
+       },
+       [](bool may_have_run) {
+         return HttpResponse{may_have_run ? kMayHaveRun : kRefused, {}, ""};
+       }}};
+};
+
+// Guards against a client that is told "not run" by a deposed leader while its call is on the way to the new one.
+TEST_F(RelayTest, RefusalOfAnEarlierLeaderIsNotFinal) {
+  Tick(milliseconds(10));
+  Call();
+  m_leader = "b";
+  m_epoch = 2;
+  Tick(milliseconds(10));
+  ASSERT_EQ(m_sent.size(), 2U);
+  EXPECT_EQ(m_sent[1].address, "b");
+  m_sent[0].done(Answer(kRefused));
+  EXPECT_TRUE(m_statuses.empty());
+  m_sent[1].done(Answer(kOk));
+  EXPECT_EQ(m_statuses, std::vector<int>{kOk});
+}
+
+// Guards against "not run" for a call that the leader may have received before it died.
+TEST_F(RelayTest, CallWithoutAnAnswerMayHaveRun) {
+  Tick(milliseconds(10));
+  Call();
+  m_sent[0].done({false, true, false, {}});
+  m_is_known = false;
+  for (int i = 0; i < 30; ++i) Tick(milliseconds(100));
+  EXPECT_EQ(m_statuses, std::vector<int>{kMayHaveRun});
+}
+
+// Guards against calls that wait although this instance is cut off.
+TEST_F(RelayTest, CallIsRefusedAtOnceWithoutALeader) {
+  Tick(milliseconds(10));
+  m_is_known = false;
+  for (int i = 0; i < 25; ++i) Tick(milliseconds(100));
+  Call();
+  EXPECT_EQ(m_statuses, std::vector<int>{kRefused});
+}
+
+// Guards against calls that are dropped while the leader changes.
+TEST_F(RelayTest, CallWaitsForTheNextLeader) {
+  Tick(milliseconds(10));
+  m_is_known = false;
+  Tick(milliseconds(300));
+  Call();
+  EXPECT_TRUE(m_sent.empty());
+  m_is_known = true;
+  m_epoch = 2;
+  Tick(milliseconds(300));
+  ASSERT_EQ(m_sent.size(), 1U);
+  m_sent[0].done({true, true, true, {}});
+  Tick(milliseconds(100));
+  ASSERT_EQ(m_sent.size(), 2U) << "an undecided answer is asked again";
+  m_sent[1].done(Answer(kOk));
+  EXPECT_EQ(m_statuses, std::vector<int>{kOk});
+}
+
+}  // namespace
+}  // namespace jaymast
