--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -101,6 +101,10 @@
     upstream.clock_at = m_now;
   }
   if (reply.status == OrderStatus::kAccepted) {
+    m_ports.events.Emit("task.started", {{"task", FormatTaskKey(key)},
+                                         {"run", std::to_string(run)},
+                                         {"upstream", task->upstream.value()},
+                                         {"after_ms", std::to_string(ToMillis(m_now - job.accepted))}});
     task->phase = TaskPhase::kRunning;
     task->confirmed_at = m_now;
     task->progressed_at = m_now;
