--- a/src/cell/admission.cc
+++ b/src/cell/admission.cc
@@ -26,7 +26,10 @@
     bucket.tokens = std::min(burst, bucket.tokens + elapsed_s * load.weight);
     bucket.refilled_at = now;
   }
-  const double wait_s = load.total_cores > 0 ? load.urgent_core_s / load.total_cores : kMaxRetryAfterS;
+  // Tasks that fit into the free room wait for tickets or a commit only, not for other work to end.
+  const double blocked_share =
+      load.urgent_cores > load.free_cores ? (load.urgent_cores - load.free_cores) / load.urgent_cores : 0;
+  const double wait_s = load.total_cores > 0 ? load.urgent_core_s * blocked_share / load.total_cores : kMaxRetryAfterS;
   const bool is_owed = bucket.tokens >= 1.0;
   const double bound_s = is_owed ? load.slack_s * kSlackShare : kBorrowBoundS;
   if (wait_s > bound_s) {
--- a/src/cell/admission.h
+++ b/src/cell/admission.h
@@ -11,7 +11,9 @@
 /// The load that an arriving job meets.
 struct AdmissionLoad {
   double total_cores = 0;
-  double urgent_core_s = 0;  ///< work that is accepted and comes before the job
+  double free_cores = 0;     ///< of total_cores, not held by any task
+  double urgent_cores = 0;   ///< demand of the waiting tasks that come before the job
+  double urgent_core_s = 0;  ///< their work
   double slack_s = 0;        ///< time that the job can wait and still be timely
   double weight = 1;         ///< jobs a second that the organisation is owed
 };
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -111,7 +111,9 @@
   const bool is_immediate = job.spec.repeat_count == 0 && !job.spec.steps.front().is_long_running;
   if (is_immediate) {
     for (const auto& [upstream_id, upstream] : m_upstreams) {
-      if (IsUsable(upstream)) load.total_cores += static_cast<double>(upstream.listing.capacity.cpu_millis) / 1000.0;
+      if (!IsUsable(upstream)) continue;
+      load.total_cores += static_cast<double>(upstream.listing.capacity.cpu_millis) / 1000.0;
+      load.free_cores += static_cast<double>(std::max<std::int64_t>(0, upstream.Free().cpu_millis)) / 1000.0;
     }
     for (const JobId& active : m_active) {
       const Job& other = *m_jobs[active];
@@ -120,6 +122,7 @@
       for (const Occurrence& occurrence : other.occurrences) {
         for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
           const StepSpec& step = other.spec.steps[s];
+          load.urgent_cores += static_cast<double>(occurrence.steps[s].waiting * step.demand.cpu_millis) / 1000.0;
           load.urgent_core_s += static_cast<double>(occurrence.steps[s].waiting * step.estimate_ms) / 1000.0 *
                                 static_cast<double>(step.demand.cpu_millis) / 1000.0;
         }
--- /dev/null
+++ b/src/jobs/job_record_test.cc
@@ -0,0 +1,106 @@
+#include "jobs/job_record.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+namespace jaymast {
+namespace {
+
+Job ExampleJob() {
+  Job job;
+  job.id = JobId("5c0e7a21d94b36f8");
+  job.queue = QueueId("q");
+  job.team = TeamId("t");
+  job.call_id = "c-1";
+  job.recorded_at_ms = 1234;
+  job.spec.payload = "text \"with\" quotes";
+  StepSpec first;
+  first.task_count = 2;
+  first.demand = Resources{1500, 256, 1, 0};
+  first.estimate_ms = 900;
+  first.is_gang = true;
+  first.required_label = "a";
+  StepSpec second;
+  second.task_count = 3;
+  second.after = {0};
+  second.checkpoints = true;
+  second.max_per_upstream = 2;
+  job.spec.steps = {first, second};
+  job.occurrences.resize(1);
+  OpenOccurrence(job, 0);
+  return job;
+}
+
+// Guards against fields that are lost when a new leader reads the record.
+TEST(JobRecordTest, JobAndProgressSurviveTheRecord) {
+  Job job = ExampleJob();
+  job.state = JobState::kRunning;
+  job.has_started = true;
+  TaskState& task = job.occurrences[0].steps[0].tasks[1];
+  task.phase = TaskPhase::kRunning;
+  task.run = 3;
+  task.failures = 1;
+  task.upstream = UpstreamId("u1");
+  task.checkpoint = "00ff";
+  Result<Job> read = DecodeJobRecord(job.id, EncodeJobRecord(job));
+  ASSERT_TRUE(read) << read.error().path;
+  ASSERT_TRUE(ApplyProgressRecord(EncodeProgressRecord(job), *read));
+  EXPECT_EQ(read->queue, job.queue);
+  EXPECT_EQ(read->team, job.team);
+  EXPECT_EQ(read->call_id, job.call_id);
+  EXPECT_EQ(read->spec.payload, job.spec.payload);
+  ASSERT_EQ(read->spec.steps.size(), 2U);
+  EXPECT_EQ(read->spec.steps[0].demand, job.spec.steps[0].demand);
+  EXPECT_TRUE(read->spec.steps[0].is_gang);
+  EXPECT_EQ(read->spec.steps[0].required_label, "a");
+  EXPECT_EQ(read->spec.steps[1].after, std::vector<std::size_t>{0});
+  EXPECT_TRUE(read->spec.steps[1].checkpoints);
+  EXPECT_EQ(read->spec.steps[1].max_per_upstream, 2);
+  EXPECT_EQ(read->state, JobState::kRunning);
+  const TaskState& read_task = read->occurrences[0].steps[0].tasks[1];
+  EXPECT_EQ(read_task.phase, TaskPhase::kRunning);
+  EXPECT_EQ(read_task.run, 3);
+  EXPECT_EQ(read_task.failures, 1);
+  EXPECT_EQ(read_task.upstream, UpstreamId("u1"));
+  EXPECT_EQ(read_task.checkpoint, "00ff");
+  EXPECT_EQ(read->occurrences[0].steps[0].waiting, 1);
+}
+
+// Guards against ended jobs that keep their specification in the store and in memory.
+TEST(JobRecordTest, EndedJobKeepsOnlyItsState) {
+  Job job = ExampleJob();
+  job.state = JobState::kCompleted;
+  const Result<Job> read = DecodeJobRecord(job.id, EncodeJobRecord(job));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->state, JobState::kCompleted);
+  EXPECT_TRUE(read->spec.steps.empty());
+}
+
+// Guards against a crash of a new leader on bytes that another version wrote.
+RC_GTEST_PROP(JobRecordTest, AnyBytesAreReadOrRefused, (const std::string& text)) {
+  Job job = ExampleJob();
+  ApplyProgressRecord(text, job);
+  DecodeJobRecord(job.id, text);
+  ParseTaskKey(text);
+}
+
+// Guards against progress of another shape, for example of a job with more steps.
+TEST(JobRecordTest, ProgressOfAnotherShapeIsRefused) {
+  Job job = ExampleJob();
+  const std::string text = EncodeProgressRecord(job);
+  job.spec.steps.pop_back();
+  EXPECT_FALSE(ApplyProgressRecord(text, job));
+}
+
+// Guards against task names that are read as those of another task.
+TEST(JobRecordTest, TaskNamesAreReadAsWritten) {
+  const TaskKey key{JobId("5c0e7a21d94b36f8"), 2, 1, 17};
+  EXPECT_EQ(FormatTaskKey(key), "5c0e7a21d94b36f8.2.1.17");
+  EXPECT_EQ(ParseTaskKey("5c0e7a21d94b36f8.2.1.17"), key);
+  for (const char* bad : {"", "a", "a.1.2", "a.1.2.x", ".1.2.3", "a.1.2.3 "}) EXPECT_FALSE(ParseTaskKey(bad)) << bad;
+}
+
+}  // namespace
+}  // namespace jaymast
