Do not say "not run" while an attempt at an earlier leader has no result

An attempt at a leader that is killed stays open; a second one at the new leader is undecided while it loads; at the client's deadline the relay looked only at the second. The test fails without the change. Also: right after a takeover no upstream has answered, which counted as no capacity and refused jobs for 10 s.

--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -13,6 +13,8 @@
 constexpr Duration kMaxConfigAge{1'700'000};
 /// Answers that need no write are given only while no other leader can have written for this long.
 constexpr Duration kMaxUnconfirmed{1'200'000};
+/// Upstreams that can be reached answer a new leader within this time.
+constexpr Duration kAdoptionTime{1'000'000};
 /// The end of an outage is not known; clients wait 3 s in all, so a longer pause would cost them most of it.
 constexpr std::int64_t kStoreRetryAfterS = 1;
 /// The progress of a job fits into one row of 64 KiB: a task takes up to 60 bytes.
@@ -138,7 +140,9 @@
     load.slack_s = objective_s - chain_s;
     const auto team_config = m_config->teams.find(team);
     if (team_config != m_config->teams.end()) load.weight = team_config->second.weight;
-    const AdmissionDecision decision = m_admission.Decide(team, load, m_now);
+    // Right after a takeover no upstream has answered yet, which is no sign of overload.
+    const bool is_adopting = load.total_cores <= 0 && m_now - m_took_over_at < kAdoptionTime;
+    const AdmissionDecision decision = is_adopting ? AdmissionDecision{} : m_admission.Decide(team, load, m_now);
     if (!decision.is_admitted) {
       m_ports.events.Emit("job.refused", {{"job", id.value()},
                                           {"reason", "queue is longer than the slack"},
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -43,8 +43,10 @@
   call->is_open = true;
   call->attempt_deadline = std::min(call->deadline, now + kAttemptTime);
   const std::uint64_t attempt = ++call->attempt;
+  ++call->unresolved;
   m_ports.send(m_address, call->request, call->attempt_deadline, [this, call, attempt](Attempt result) {
     if (call->is_done) return;
+    --call->unresolved;
     if (result.was_sent && !result.is_undecided) call->may_have_run = true;
     // A later attempt decides: an earlier leader may refuse what the new one accepts.
     if (attempt != call->attempt) return;
@@ -60,8 +62,8 @@
   for (const CallPtr& call : calls) {
     const bool is_hopeless = !m_is_known && now - m_known_at > kLeaderPatience && !call->is_open;
     if (now >= call->deadline || is_hopeless) {
-      // An attempt that is still open may have been received.
-      Finish(call, m_ports.give_up(call->may_have_run || call->is_open));
+      // An attempt without a result may have been received, also by an earlier leader.
+      Finish(call, m_ports.give_up(call->may_have_run || call->unresolved > 0));
     } else if (!call->is_open && m_is_known && now >= call->next_attempt) {
       Try(call, now);
     }
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -54,6 +54,7 @@
     Time attempt_deadline{};
     std::uint64_t attempt = 0;
     bool is_open = false;  ///< an attempt waits for its answer
+    int unresolved = 0;    ///< attempts that were sent and have no result yet
     bool may_have_run = false;
     bool is_done = false;
   };
--- a/src/instance/relay_test.cc
+++ b/src/instance/relay_test.cc
@@ -75,6 +75,20 @@
   EXPECT_EQ(m_statuses, std::vector<int>{kMayHaveRun});
 }
 
+// Guards against "not run" while an attempt at an earlier leader, which may have stored the job, has no answer yet.
+TEST_F(RelayTest, OpenAttemptAtAnEarlierLeaderMayHaveRun) {
+  Tick(milliseconds(10));
+  Call();
+  m_leader = "";
+  m_epoch = 2;
+  Tick(milliseconds(800));
+  ASSERT_EQ(m_sent.size(), 2U);
+  m_sent[1].done({true, true, true, {}});
+  m_is_known = false;
+  Tick(milliseconds(2100));
+  EXPECT_EQ(m_statuses, std::vector<int>{kMayHaveRun});
+}
+
 // Guards against calls that wait although this instance is cut off.
 TEST_F(RelayTest, CallIsRefusedAtOnceWithoutALeader) {
   Tick(milliseconds(10));
