Pack the records of many jobs into one row of the store

Cause: a transaction takes at most 100 rows. Ruled out: processor time of the leader (0.2 of 0.5 cores) and the rate of the partition (2.5 transactions a second of 200). Change: RecordLog appends records to rows of up to 32 KiB, removes rows without a record that counts, and empties sparse ones. A successor reads few rows instead of one for each job of the last 300 s. The clean-up in two stages is gone, and both copies of the table names.

--- /dev/null
+++ b/src/cell/record_log_test.cc
@@ -0,0 +1,209 @@
+#include "cell/record_log.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jaymast {
+namespace {
+
+using Rows = std::map<std::string, std::string>;
+
+/// What a successor finds of a job.
+struct Found {
+  RecordKind kind = RecordKind::kGone;
+  std::string text;
+  std::string progress;
+
+  friend bool operator==(const Found&, const Found&) = default;
+};
+
+std::size_t Apply(RecordLog& log, Rows& rows) {
+  const std::vector<StateWrite> writes = log.TakeWrites();
+  for (const StateWrite& write : writes) {
+    if (write.value) {
+      rows[write.key] = *write.value;
+    } else {
+      EXPECT_EQ(rows.erase(write.key), 1U) << write.key;
+    }
+  }
+  return writes.size();
+}
+
+/// Reads rows as a successor does.
+std::map<std::string, Found> ReadAll(const Rows& rows, RecordLog* log = nullptr) {
+  std::map<std::string, Found> found;
+  for (const auto& [key, text] : rows) {
+    const auto records = DecodeLogRow(text);
+    EXPECT_TRUE(records.has_value());
+    if (log != nullptr) log->AddLoaded({kRecordTable, key, text, 0}, *records);
+    for (const LogRecord& record : *records) {
+      Found& job = found[record.job.value()];
+      if (record.kind == RecordKind::kProgress) {
+        job.progress = record.text;
+      } else {
+        job.kind = record.kind;
+        job.text = record.text;
+      }
+    }
+  }
+  std::erase_if(found, [](const auto& entry) { return entry.second.kind == RecordKind::kGone; });
+  for (auto& [job, state] : found) {
+    if (state.kind == RecordKind::kFinal) state.progress.clear();
+  }
+  return found;
+}
+
+/// Jobs that come, make progress, end and are forgotten, with the state that a successor has to find.
+class Workload {
+ public:
+  explicit Workload(unsigned seed) : m_random(seed) {}
+
+  void Step(RecordLog& log) {
+    const std::size_t action = Pick(10);
+    if (action < 3 || open.empty()) return Open(log);
+    const std::string job = open[Pick(open.size())];
+    if (action < 8) {
+      expected[job].progress = Text(40);
+      log.Put(JobId(job), RecordKind::kProgress, expected[job].progress);
+      return;
+    }
+    expected[job] = {RecordKind::kFinal, Text(20), ""};
+    log.Put(JobId(job), RecordKind::kFinal, expected[job].text);
+    std::erase(open, job);
+    ended.push_back(job);
+    if (ended.size() > kShownJobs) {
+      log.Forget(JobId(ended.front()));
+      // A successor may still show a job that the leader has forgotten, but only as ended.
+      forgotten[ended.front()] = expected[ended.front()];
+      expected.erase(ended.front());
+      ended.erase(ended.begin());
+    }
+  }
+
+  void Move(RecordLog& log) const {
+    for (const RecordLog::Item& item : log.ItemsToMove()) {
+      const auto found = expected.find(item.job.value());
+      const bool is_gone = found == expected.end();
+      const bool is_progress = item.kind == RecordKind::kProgress;
+      const std::string text = is_gone ? "" : (is_progress ? found->second.progress : found->second.text);
+      log.Put(item.job, is_gone ? RecordKind::kGone : item.kind, text);
+    }
+  }
+
+  void Check(const std::map<std::string, Found>& found) const {
+    for (const auto& [job, state] : expected) {
+      const auto entry = found.find(job);
+      ASSERT_NE(entry, found.end()) << job;
+      EXPECT_EQ(entry->second, state) << job;
+    }
+    for (const auto& [job, state] : found) {
+      if (expected.contains(job)) continue;
+      const auto entry = forgotten.find(job);
+      ASSERT_NE(entry, forgotten.end()) << job;
+      EXPECT_EQ(state, entry->second) << job;
+    }
+  }
+
+  std::size_t Pick(std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random); }
+
+  std::map<std::string, Found> expected;
+  std::map<std::string, Found> forgotten;
+  std::vector<std::string> open;
+  std::vector<std::string> ended;
+
+ private:
+  static constexpr std::size_t kShownJobs = 300;
+
+  void Open(RecordLog& log) {
+    const std::string job = "job" + std::to_string(++m_jobs);
+    open.push_back(job);
+    expected[job] = {RecordKind::kJob, Text(200), ""};
+    log.Put(JobId(job), RecordKind::kJob, expected[job].text);
+  }
+  std::string Text(std::size_t bytes) { return std::string(bytes, static_cast<char>('a' + Pick(26))); }
+
+  std::mt19937 m_random;
+  int m_jobs = 0;
+};
+
+// Guards against a job that a successor finds in an older state, not at all, or alive again after its end.
+TEST(RecordLogTest, SuccessorFindsTheNewestStateAtAnyTransaction) {
+  for (unsigned seed = 1; seed <= 6; ++seed) {
+    Workload load(seed);
+    Rows rows;
+    auto log = std::make_unique<RecordLog>();
+    for (int transaction = 0; transaction < 1'500; ++transaction) {
+      for (std::size_t i = load.Pick(6); i > 0; --i) load.Step(*log);
+      load.Move(*log);
+      EXPECT_LE(Apply(*log, rows), 99U);
+      const bool is_takeover = load.Pick(400) == 0;
+      if (is_takeover) log = std::make_unique<RecordLog>();
+      if (is_takeover || transaction % 50 == 0) load.Check(ReadAll(rows, is_takeover ? log.get() : nullptr));
+    }
+    load.Check(ReadAll(rows));
+    // At most one page more than the records that count need.
+    EXPECT_LE(rows.size(), 500U) << "seed " << seed;
+  }
+}
+
+// Guards against an ended job that comes back to life, because the row with its end goes before one with its start.
+TEST(RecordLogTest, EndOutlivesOlderRecordsOfTheJob) {
+  RecordLog log;
+  Rows rows;
+  log.Put(JobId("lasting"), RecordKind::kJob, "specification");
+  log.Put(JobId("short"), RecordKind::kJob, "specification");
+  Apply(log, rows);
+  log.Put(JobId("short"), RecordKind::kFinal, "final");
+  Apply(log, rows);
+  log.Forget(JobId("short"));
+  for (int i = 0; i < 3; ++i) Apply(log, rows);
+  EXPECT_EQ(ReadAll(rows)["short"].kind, RecordKind::kFinal);
+  log.Put(JobId("lasting"), RecordKind::kFinal, "final");
+  for (int i = 0; i < 3; ++i) Apply(log, rows);
+  EXPECT_FALSE(ReadAll(rows).contains("short"));
+}
+
+// Guards against rows that stay in the store for ever.
+TEST(RecordLogTest, NothingIsLeftOfForgottenJobs) {
+  RecordLog log;
+  Rows rows;
+  for (int i = 0; i < 500; ++i) {
+    const JobId job("job" + std::to_string(i));
+    log.Put(job, RecordKind::kJob, "specification");
+    Apply(log, rows);
+    log.Put(job, RecordKind::kProgress, "progress");
+    Apply(log, rows);
+    log.Put(job, RecordKind::kFinal, "final");
+    Apply(log, rows);
+  }
+  for (int i = 0; i < 500; ++i) log.Forget(JobId("job" + std::to_string(i)));
+  for (int i = 0; i < 100; ++i) Apply(log, rows);
+  EXPECT_TRUE(rows.empty()) << rows.size();
+}
+
+// Guards against rows above the size that the store takes.
+TEST(RecordLogTest, BurstIsSplitIntoRows) {
+  RecordLog log;
+  Rows rows;
+  for (int i = 0; i < 100; ++i) log.Put(JobId("job" + std::to_string(i)), RecordKind::kJob, std::string(5'000, 'x'));
+  Apply(log, rows);
+  EXPECT_EQ(ReadAll(rows).size(), 100U);
+  for (const auto& [key, text] : rows) EXPECT_LE(text.size(), 65'536U);
+}
+
+// Guards against a row of another version that ends the process.
+TEST(RecordLogTest, UnreadableRowsAreReported) {
+  EXPECT_FALSE(DecodeLogRow("job1 job text").has_value()) << "no line break";
+  EXPECT_FALSE(DecodeLogRow("job1\n").has_value());
+  EXPECT_FALSE(DecodeLogRow("job1 unknown text\n").has_value());
+  EXPECT_TRUE(DecodeLogRow("").has_value());
+}
+
+}  // namespace
+}  // namespace jaymast
--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -10,8 +10,6 @@
 namespace jaymast {
 namespace {
 
-/// A transaction carries at most 100 rows, one of which is the leader row.
-constexpr std::size_t kMaxBatchRows = 90;
 /// A transaction carries at most 1 MB; rows are encoded with a third more.
 constexpr std::size_t kMaxBatchBytes = 500'000;
 /// The chain of an objective counts one policy call that names this many upstreams for each step.
@@ -20,8 +18,6 @@
 constexpr Duration kKeepEnded{300'000'000};
 /// A job is worth something until this multiple of its objective.
 constexpr int kLateFactor = 3;
-constexpr const char* kJobTable = "jobs";
-constexpr const char* kProgressTable = "progress";
 
 }  // namespace
 
@@ -49,7 +45,7 @@
       if (job->is_final_recorded) {
         m_ended.emplace_back(m_now + kKeepEnded, id);
       } else {
-        m_cleanup.push_back(id);
+        Mark(*job);
       }
       continue;
     }
@@ -108,34 +104,34 @@
 JournalBatch Scheduler::Collect() {
   JournalBatch batch;
   std::vector<std::pair<JobId, std::uint64_t>> covered;
-  std::size_t bytes = 0;
-  while (!m_commit_queue.empty() && batch.writes.size() + 3 <= kMaxBatchRows && bytes < kMaxBatchBytes) {
+  const auto record = [this, &covered](Job& job) {
+    job.is_queued_for_commit = false;
+    covered.emplace_back(job.id, job.change);
+    Record(job);
+  };
+  while (!m_commit_queue.empty() && m_log.pending_bytes() < kMaxBatchBytes) {
     const JobId id = m_commit_queue.front();
     m_commit_queue.pop_front();
     Job* job = FindJob(id);
-    if (job == nullptr) continue;
-    job->is_queued_for_commit = false;
-    covered.emplace_back(id, job->change);
-    const auto put = [&batch, &bytes, &id](const char* table, std::optional<std::string> value) {
-      if (value) bytes += value->size();
-      batch.writes.push_back(StateWrite{table, id.value(), std::move(value)});
-    };
-    if (IsSettled(*job) && !job->has_progress_record) {
-      if (!job->is_final_recorded) put(kJobTable, EncodeJobRecord(*job));
-      job->is_final_recorded = true;
-      continue;
-    }
-    if (!job->is_spec_recorded) {
-      put(kJobTable, EncodeJobRecord(*job));
-      job->is_spec_recorded = true;
-      // A job without progress is read as one of which nothing has started.
-      if (IsUntouched(*job)) continue;
+    // A record that was moved has taken the place of the queued one.
+    if (job != nullptr && job->is_queued_for_commit) record(*job);
+  }
+  while (!m_ended.empty() && m_ended.front().first <= m_now) {
+    m_log.Forget(m_ended.front().second);
+    m_jobs.erase(m_ended.front().second);
+    m_ended.pop_front();
+  }
+  for (const RecordLog::Item& item : m_log.ItemsToMove()) {
+    Job* job = FindJob(item.job);
+    if (job == nullptr) {
+      m_log.Put(item.job, RecordKind::kGone, "");
+    } else if (item.kind == RecordKind::kProgress) {
+      record(*job);
+    } else {
+      m_log.Put(item.job, item.kind, item.kind == RecordKind::kFinal ? EncodeFinalRecord(*job) : EncodeJobRecord(*job));
     }
-    put(kProgressTable, EncodeProgressRecord(*job));
-    job->has_progress_record = true;
-    if (IsSettled(*job)) m_cleanup.push_back(id);
   }
-  Tidy(batch);
+  batch.writes = m_log.TakeWrites();
   if (!m_commit_queue.empty()) m_mark_dirty();
   batch.committed = [this, covered = std::move(covered)] {
     for (const auto& [id, change] : covered) {
@@ -159,24 +155,21 @@
   return batch;
 }
 
-void Scheduler::Tidy(JournalBatch& batch) {
-  // Room in transactions is scarce while the store is slow, so this waits for a quiet moment.
-  if (!m_commit_queue.empty()) return;
-  while (!m_cleanup.empty() && batch.writes.size() + 3 <= kMaxBatchRows) {
-    Job* job = FindJob(m_cleanup.front());
-    m_cleanup.pop_front();
-    if (job == nullptr || job->is_final_recorded) continue;
-    batch.writes.push_back(StateWrite{kJobTable, job->id.value(), EncodeJobRecord(*job)});
-    batch.writes.push_back(StateWrite{kProgressTable, job->id.value(), std::nullopt});
-    job->is_final_recorded = true;
-    job->has_progress_record = false;
-    m_ended.emplace_back(m_now + kKeepEnded, job->id);
+void Scheduler::Record(Job& job) {
+  if (IsSettled(job)) {
+    if (job.is_final_recorded) return;
+    m_log.Put(job.id, RecordKind::kFinal, EncodeFinalRecord(job));
+    job.is_final_recorded = true;
+    m_ended.emplace_back(m_now + kKeepEnded, job.id);
+    return;
   }
-  while (!m_ended.empty() && m_ended.front().first <= m_now && batch.writes.size() + 2 <= kMaxBatchRows) {
-    batch.writes.push_back(StateWrite{kJobTable, m_ended.front().second.value(), std::nullopt});
-    m_jobs.erase(m_ended.front().second);
-    m_ended.pop_front();
+  if (!job.is_spec_recorded) {
+    m_log.Put(job.id, RecordKind::kJob, EncodeJobRecord(job));
+    job.is_spec_recorded = true;
+    // A job without progress is read as one of which nothing has started.
+    if (IsUntouched(job)) return;
   }
+  m_log.Put(job.id, RecordKind::kProgress, EncodeProgressRecord(job));
 }
 
 bool Scheduler::IsUntouched(const Job& job) {
@@ -264,7 +257,6 @@
       queue->policy ? queue->policy->call_ms + queue->policy->per_upstream_ms * kPolicyNamesInObjective : 0;
   std::vector<double> chain(job.spec.steps.size(), 0);
   double longest = 0;
-  job.work_core_s = 0;
   for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
     const StepSpec& step = job.spec.steps[s];
     for (const std::size_t before : step.after) {
@@ -272,8 +264,6 @@
     }
     chain[s] += static_cast<double>(step.estimate_ms) + call_ms;
     longest = std::max(longest, chain[s]);
-    job.work_core_s += static_cast<double>(step.task_count * step.estimate_ms) / 1000.0 *
-                       static_cast<double>(step.demand.cpu_millis) / 1000.0;
   }
   const auto objective_ms = static_cast<std::int64_t>(longest * queue->stretch) + queue->target_duration_ms;
   job.objective = job.accepted + std::chrono::milliseconds(objective_ms);
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -18,6 +18,7 @@
 #include "cell/client_call.h"
 #include "cell/journal.h"
 #include "cell/policy_port.h"
+#include "cell/record_log.h"
 #include "cell/refused_calls.h"
 #include "cell/upstream_port.h"
 #include "cell/upstream_state.h"
@@ -52,6 +53,7 @@
   Scheduler(Ports ports, std::uint64_t epoch, Time now, std::function<void()> mark_dirty, std::function<void()> fenced);
 
   // Loading, before the first tick.
+  void AddRecordedRow(const StateRow& row, const std::vector<LogRecord>& records) { m_log.AddLoaded(row, records); }
   void AddRecordedJob(Job job, std::int64_t age_ms);
   /// Builds the use of upstreams and organisations from the recorded jobs.
   void FinishLoading();
@@ -116,8 +118,8 @@
   void OpenDueOccurrences(Job& job);
   bool IsSettled(const Job& job) const;
   static bool IsUntouched(const Job& job);
-  /// Adds the removal of what is not needed any more, as far as the transaction has room.
-  void Tidy(JournalBatch& batch);
+  /// Puts what the store does not have of a job into the next transaction.
+  void Record(Job& job);
 
   // scheduler_clients.cc
   void Decide(const ClientCall& call, const ClientReplyFunction& reply);
@@ -184,7 +186,7 @@
   std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
   std::set<JobId> m_active;
   std::deque<JobId> m_commit_queue;
-  std::deque<JobId> m_cleanup;                 ///< ended jobs with a progress record
+  RecordLog m_log;
   std::deque<std::pair<Time, JobId>> m_ended;  ///< when ended jobs are forgotten
   std::map<UpstreamId, UpstreamState> m_upstreams;
   std::map<TeamId, Resources> m_team_use;
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -8,8 +8,6 @@
 namespace jaymast {
 namespace {
 
-constexpr const char* kJobTable = "jobs";
-constexpr const char* kProgressTable = "progress";
 /// Pause before a failed read of the recorded jobs is repeated.
 constexpr Duration kLoadRetryPause{50'000};
 /// While the store is silent for this time, another instance may be about to take over.
@@ -36,14 +34,13 @@
       m_journal(
           store, record, version, [this] { return m_is_loaded ? m_scheduler.Collect() : JournalBatch{}; }, deposed,
           m_request_tick),
-      m_feeds(make_feeds(*this)),
-      m_load_table(kJobTable) {}
+      m_feeds(make_feeds(*this)) {}
 
 void CellTerm::OnTick(Time now, std::int64_t unix_now_ms) {
   m_now = now;
   m_scheduler.SetNow(now);
   m_journal.OnTick(now);
-  if (!m_are_jobs_loaded && !m_is_reading && now >= m_next_load) Load(m_load_table, m_load_from);
+  if (!m_are_jobs_loaded && !m_is_reading && now >= m_next_load) Load();
   m_feeds->OnTick(now);
   m_scheduler.SetStanding({m_journal.confirmed_at(), m_journal.IsStalled(now, kStallBound),
                            m_journal.IsStalled(now, kOutageBound), m_journal.store_now_ms(now), unix_now_ms});
@@ -69,48 +66,54 @@
   CheckLoaded();
 }
 
-void CellTerm::Load(const std::string& table, const std::string& from) {
+void CellTerm::Load() {
   m_is_reading = true;
-  m_store.Scan(table, from, "", [this, table](const StateScanReply& reply) { OnPage(table, reply); });
+  m_store.Scan(kRecordTable, m_load_from, "", [this](const StateScanReply& reply) { OnPage(reply); });
 }
 
-void CellTerm::OnPage(const std::string& table, const StateScanReply& reply) {
+void CellTerm::OnPage(const StateScanReply& reply) {
   m_is_reading = false;
   if (!reply.is_available) {
     m_next_load = m_now + kLoadRetryPause;
     return;
   }
-  for (const StateRow& row : reply.rows) OnRow(row, reply.now_ms);
+  for (const StateRow& row : reply.rows) OnRow(row);
   if (reply.has_more && !reply.rows.empty()) {
     // The smallest key above the last one.
     m_load_from = reply.rows.back().key + '\x01';
     return m_request_tick();
   }
-  m_load_from.clear();
-  if (table == kJobTable) {
-    m_load_table = kProgressTable;
-    return m_request_tick();
-  }
-  FinishJobs();
+  FinishJobs(reply.now_ms);
 }
 
-void CellTerm::OnRow(const StateRow& row, std::int64_t store_now_ms) {
-  const JobId id(row.key);
-  if (row.table == kJobTable) {
-    Result<Job> job = DecodeJobRecord(id, row.value);
-    if (!job) return m_events.Emit("record.unreadable", {{"path", job.error().path}, {"reason", job.error().reason}});
-    const std::int64_t age_ms = std::max<std::int64_t>(0, store_now_ms - job->recorded_at_ms);
-    m_loading[id] = {std::move(*job), age_ms};
-    return;
+void CellTerm::OnRow(const StateRow& row) {
+  std::optional<std::vector<LogRecord>> records = DecodeLogRow(row.value);
+  if (!records) return m_events.Emit("record.unreadable", {{"path", row.table + "/" + row.key}});
+  m_scheduler.AddRecordedRow(row, *records);
+  for (LogRecord& record : *records) {
+    Loaded& loaded = m_loading[record.job];
+    if (record.kind == RecordKind::kProgress) {
+      loaded.progress = std::move(record.text);
+    } else {
+      loaded.job = std::move(record);
+    }
   }
-  const auto found = m_loading.find(id);
-  if (found == m_loading.end() || !ApplyProgressRecord(row.value, found->second.first)) {
-    m_events.Emit("record.unreadable", {{"path", "progress/" + row.key}});
+}
+
+void CellTerm::AddJob(const JobId& id, const Loaded& loaded, std::int64_t store_now_ms) {
+  if (loaded.job.kind == RecordKind::kGone) return;
+  Result<Job> job = DecodeJobRecord(id, loaded.job.text);
+  if (!job) return m_events.Emit("record.unreadable", {{"path", job.error().path}, {"reason", job.error().reason}});
+  const bool has_progress = loaded.job.kind == RecordKind::kJob && !loaded.progress.empty();
+  if (has_progress && !ApplyProgressRecord(loaded.progress, *job)) {
+    return m_events.Emit("record.unreadable", {{"path", "progress of " + id.value()}});
   }
+  const std::int64_t age_ms = std::max<std::int64_t>(0, store_now_ms - job->recorded_at_ms);
+  m_scheduler.AddRecordedJob(std::move(*job), age_ms);
 }
 
-void CellTerm::FinishJobs() {
-  for (auto& [id, entry] : m_loading) m_scheduler.AddRecordedJob(std::move(entry.first), entry.second);
+void CellTerm::FinishJobs(std::int64_t store_now_ms) {
+  for (const auto& [id, loaded] : m_loading) AddJob(id, loaded, store_now_ms);
   m_events.Emit("term.jobs_loaded", {{"jobs", std::to_string(m_loading.size())}});
   m_loading.clear();
   m_scheduler.FinishLoading();
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -46,10 +46,17 @@
   void OnListComplete(const std::set<UpstreamId>& listed) override;
 
  private:
-  void Load(const std::string& table, const std::string& from);
-  void OnPage(const std::string& table, const StateScanReply& reply);
-  void OnRow(const StateRow& row, std::int64_t store_now_ms);
-  void FinishJobs();
+  /// Newest records of a job in the rows read so far.
+  struct Loaded {
+    LogRecord job;
+    std::string progress;
+  };
+
+  void Load();
+  void OnPage(const StateScanReply& reply);
+  void OnRow(const StateRow& row);
+  void AddJob(const JobId& id, const Loaded& loaded, std::int64_t store_now_ms);
+  void FinishJobs(std::int64_t store_now_ms);
   void CheckLoaded();
 
   StateStore& m_store;
@@ -59,8 +66,7 @@
   Scheduler m_scheduler;
   Journal m_journal;
   std::unique_ptr<CellFeeds> m_feeds;
-  std::map<JobId, std::pair<Job, std::int64_t>> m_loading;  ///< recorded jobs with their age in ms
-  std::string m_load_table;
+  std::map<JobId, Loaded> m_loading;
   std::string m_load_from;
   Time m_next_load{};
   bool m_is_reading = false;
--- a/src/instance/cell_world_test.cc
+++ b/src/instance/cell_world_test.cc
@@ -144,6 +144,25 @@
   }
 }
 
+// Guards against a limit on the jobs that one transaction can carry.
+TEST(CellWorldTest, SlowStoreTakesTwoHundredJobsASecond) {
+  CellWorld world(2, 40);
+  world.Run(seconds(2));
+  const int leader = world.Leader();
+  world.At(leader).store->fault = StoreFault::kSlow;
+  constexpr int kJobs = 800;
+  for (int i = 0; i < kJobs; ++i) {
+    world.Call(leader, "POST", "job" + std::to_string(i), "tasks=1 cpu=100 ms=300");
+    world.Run(milliseconds(5));
+  }
+  // Two transactions for the acceptance; the last job has a transaction each for its assignment and its end.
+  world.Run(milliseconds(800));
+  for (int i = 0; i < kJobs; ++i) EXPECT_EQ(world.LastStatus("POST job" + std::to_string(i)), kAccepted) << i;
+  world.Run(milliseconds(1700));
+  EXPECT_EQ(world.Leader(), leader);
+  for (int i = 0; i < kJobs; ++i) EXPECT_EQ(StateOf(world, 0, "job" + std::to_string(i)), "completed") << i;
+}
+
 // Guards against a second transaction that is sent before it is certain what became of the first.
 TEST(CellWorldTest, LostAnswersOfTheStoreAreSettled) {
   CellWorld world(2, 2);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -99,9 +99,8 @@
   std::vector<Occurrence> occurrences;
   bool has_started = false;  ///< a task has begun
   Time accepted{};
-  Time objective{};   ///< latest completion that counts as timely
-  Time late_bound{};  ///< latest completion that is worth something
-  double work_core_s = 0;
+  Time objective{};                 ///< latest completion that counts as timely
+  Time late_bound{};                ///< latest completion that is worth something
   std::int64_t recorded_at_ms = 0;  ///< clock of the store at the acceptance
 
   // Durability: changes up to `committed_change` are in the store.
@@ -109,7 +108,6 @@
   std::uint64_t committed_change = 0;
   bool is_queued_for_commit = false;
   bool is_spec_recorded = false;
-  bool has_progress_record = false;
   bool is_final_recorded = false;
   std::vector<std::pair<std::uint64_t, std::function<void()>>> when_committed;
 };
--- a/src/jobs/job_record.cc
+++ b/src/jobs/job_record.cc
@@ -111,9 +111,7 @@
   json::object out;
   out["q"] = job.queue.value();
   out["t"] = job.team.value();
-  out["s"] = ToString(job.state);
   out["at"] = job.recorded_at_ms;
-  if (IsFinal(job.state)) return json::serialize(out);
   out["p"] = job.spec.payload;
   if (!job.call_id.empty()) out["c"] = job.call_id;
   json::array steps;
@@ -125,6 +123,15 @@
   return json::serialize(out);
 }
 
+std::string EncodeFinalRecord(const Job& job) {
+  json::object out;
+  out["q"] = job.queue.value();
+  out["t"] = job.team.value();
+  out["s"] = ToString(job.state);
+  out["at"] = job.recorded_at_ms;
+  return json::serialize(out);
+}
+
 bool HoldsRoomAnywhere(const Job& job) {
   for (const Occurrence& occurrence : job.occurrences) {
     for (const StepState& step : occurrence.steps) {
@@ -210,7 +217,6 @@
   job.has_started = reader.Bool("b", false);
   const json::array* occurrences = reader.Array("o");
   if (reader.error() || occurrences == nullptr) return false;
-  job.has_progress_record = true;
   if (IsFinal(job.state) && occurrences->empty()) {
     job.occurrences.clear();
     return true;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -8,16 +8,19 @@
 
 namespace jaymast {
 
-/// Encodes what never changes: queue, organisation and specification. A final state replaces the specification.
+/// Encodes what never changes: queue, organisation and specification.
 std::string EncodeJobRecord(const Job& job);
 
+/// Encodes what is left of an ended job: queue, organisation and state.
+std::string EncodeFinalRecord(const Job& job);
+
 /// Whether a task of the job has room on an upstream.
 bool HoldsRoomAnywhere(const Job& job);
 
 /// Encodes what changes: runs, failures, upstreams and checkpoints of all tasks.
 std::string EncodeProgressRecord(const Job& job);
 
-/// Reads a record of EncodeJobRecord.
+/// Reads a record of EncodeJobRecord or EncodeFinalRecord.
 /// @return the job without progress, or an error with the path of the first bad field
 Result<Job> DecodeJobRecord(const JobId& id, std::string_view text);
 
--- a/src/jobs/job_record_test.cc
+++ b/src/jobs/job_record_test.cc
@@ -72,7 +72,7 @@
 TEST(JobRecordTest, EndedJobKeepsOnlyItsState) {
   Job job = ExampleJob();
   job.state = JobState::kCompleted;
-  const Result<Job> read = DecodeJobRecord(job.id, EncodeJobRecord(job));
+  const Result<Job> read = DecodeJobRecord(job.id, EncodeFinalRecord(job));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->state, JobState::kCompleted);
   EXPECT_TRUE(read->spec.steps.empty());
