Leave the rotation of clients while the leader writes nothing

Ruled out: a slow takeover (a new leader answered outside the domain after 0.9 s). Change: an instance is ready only if the leader's row was written within 1.2 s, as seen by the leader itself or by beats.

--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -20,6 +20,8 @@
 constexpr Duration kFollowerSilence{1'200'000};
 /// An instance that has not heard of a leader for this time sends its clients elsewhere.
 constexpr Duration kReadySilence{800'000};
+/// A leader that has written nothing for this time can't accept work; above two transactions of a slow store.
+constexpr Duration kReadyStall{1'200'000};
 /// Calls are passed to a leader that has not been heard of for up to this time.
 constexpr Duration kLeaderSilence{1'500'000};
 /// A client's call is answered at the latest after this time, unless the client tells how long it waits.
@@ -250,6 +252,8 @@
 void CellInstance::OnBeat(const Beat& beat) {
   if (m_term != nullptr || beat.record.epoch < m_leadership.leader_epoch()) return;
   m_leader_heard_at = m_now;
+  if (beat.version != m_leader_version) m_leader_wrote_at = m_now;
+  m_leader_version = beat.version;
   m_leadership.OnLeaderProgress(beat.record, beat.version, m_now);
 }
 
@@ -293,7 +297,10 @@
 }
 
 bool CellInstance::is_ready() const {
-  return !m_is_stopping && (m_term != nullptr || m_now - m_leader_heard_at < kReadySilence);
+  if (m_is_stopping) return false;
+  // A leader that is cut off from the store may be cut off together with some followers.
+  if (m_term != nullptr) return !m_term->journal().IsStalled(m_now, kReadyStall);
+  return m_now - m_leader_heard_at < kReadySilence && m_now - m_leader_wrote_at < kReadyStall;
 }
 
 bool CellInstance::has_left() const { return m_is_stopping && m_term == nullptr; }
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -115,6 +115,8 @@
   Time m_next_beat{};
   Time m_next_hello{};
   Time m_leader_heard_at{};
+  Time m_leader_wrote_at{};  ///< when the row of the leader was first seen with its present version
+  std::int64_t m_leader_version = 0;
   bool m_is_stopping = false;
   std::string m_successor;
   std::uint64_t m_call_count = 0;
--- a/src/instance/cell_world_test.cc
+++ b/src/instance/cell_world_test.cc
@@ -104,6 +104,43 @@
   EXPECT_GE(world.Leader(), 0);
 }
 
+// Guards against clients that are kept in a failure domain that can't serve them: its instances hear each other, but
+// neither the store nor the new leader.
+TEST(CellWorldTest, InstancesCutOffWithTheirLeaderAreNotReady) {
+  CellWorld world(4, 2);
+  world.Run(seconds(2));
+  const int leader = world.Leader();
+  const int companion = AnyFollower(world);
+  for (int i = 0; i < 4; ++i) {
+    const bool is_inside = i == leader || i == companion;
+    if (is_inside) world.At(i).store->fault = StoreFault::kSilent;
+    world.At(i).cut_from.insert(is_inside ? "u0" : "u1");
+    for (int j = 0; j < 4; ++j) {
+      if (is_inside != (j == leader || j == companion)) world.At(i).cut_from.insert(world.At(j).address);
+    }
+  }
+  world.Run(milliseconds(2500));
+  for (int i = 0; i < 4; ++i) {
+    const bool is_inside = i == leader || i == companion;
+    EXPECT_EQ(world.At(i).cell->is_ready(), !is_inside) << i;
+    world.At(i).cut_from.clear();
+    world.At(i).store->fault = StoreFault::kNone;
+  }
+  world.Run(milliseconds(1500));
+  for (int i = 0; i < 4; ++i) EXPECT_TRUE(world.At(i).cell->is_ready()) << i;
+}
+
+// Guards against instances that leave the rotation of clients because the store is slow.
+TEST(CellWorldTest, SlowStoreKeepsInstancesReady) {
+  CellWorld world(3, 2);
+  world.Run(seconds(2));
+  for (int i = 0; i < 3; ++i) world.At(i).store->fault = StoreFault::kSlow;
+  for (int step = 0; step < 50; ++step) {
+    world.Run(milliseconds(100));
+    for (int i = 0; i < 3; ++i) EXPECT_TRUE(world.At(i).cell->is_ready()) << i << " after " << step;
+  }
+}
+
 // Guards against a takeover during an outage of the store, and against work that is dropped in one.
 TEST(CellWorldTest, OutageOfTheStoreKeepsTheLeaderAndTheRunningWork) {
   CellWorld world(3, 2);
