Visit only what is due at each tick of the scheduler

Cause: each tick looked up every active job by its name, and every task of every upstream for stops to be repeated. Change: active jobs are kept with their address, jobs with occurrences to come in a set of their own, and an upstream knows when its next stop is due.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -49,7 +49,10 @@
       }
       continue;
     }
-    if (!IsFinal(job->state)) m_active.insert(id);
+    if (!IsFinal(job->state)) {
+      m_active[id] = job.get();
+      m_unopened[id] = job.get();
+    }
     SetObjective(*job);
     for (std::size_t k = 0; k < job->occurrences.size(); ++k) {
       Occurrence& occurrence = job->occurrences[k];
@@ -64,7 +67,10 @@
           Hold(*job, TaskKey{id, k, s, i}, task, task.upstream);
           // The earlier leader may have sent the start after it committed the assignment.
           if (task.phase == TaskPhase::kAssigned) task.phase = TaskPhase::kStarting;
-          if (task.phase == TaskPhase::kStopping) task.stop_due = m_now;
+          if (task.phase == TaskPhase::kStopping) {
+            task.stop_due = m_now;
+            m_upstreams[task.upstream].next_stop = m_now;
+          }
           task.progressed_at = m_now;
         }
       }
@@ -77,7 +83,7 @@
   m_ports.events.Emit("config.in_force", {{"version", std::to_string(config->version)}});
   m_config = std::move(config);
   for (const QueueConfig& queue : m_config->queues) m_known_queues[queue.id] = queue;
-  for (const JobId& id : m_active) SetObjective(*m_jobs[id]);
+  for (const auto& [id, job] : m_active) SetObjective(*job);
   m_needs_placing = true;
 }
 
@@ -94,10 +100,7 @@
   m_now = now;
   SendPostponed();
   for (auto& [id, upstream] : m_upstreams) SyncIfDue(upstream);
-  for (auto it = m_active.begin(); it != m_active.end();) {
-    Job& job = *m_jobs[*it++];
-    if (job.spec.repeat_count > 0 || job.occurrences.front().steps.empty()) OpenDueOccurrences(job);
-  }
+  std::erase_if(m_unopened, [this](const auto& entry) { return OpenDueOccurrences(*entry.second); });
   if (m_needs_placing || now >= m_next_place) Place();
 }
 
@@ -290,6 +293,7 @@
 void Scheduler::EndJob(Job& job, JobState state) {
   job.state = state;
   m_active.erase(job.id);
+  m_unopened.erase(job.id);
   m_ports.events.Emit("job.ended", {{"job", job.id.value()},
                                     {"state", std::string(ToString(state))},
                                     {"after_ms", std::to_string(ToMillis(m_now - job.accepted))}});
@@ -299,18 +303,19 @@
 
 bool Scheduler::IsSettled(const Job& job) const { return IsFinal(job.state) && !HoldsRoomAnywhere(job); }
 
-void Scheduler::OpenDueOccurrences(Job& job) {
+bool Scheduler::OpenDueOccurrences(Job& job) {
   for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
     Occurrence& occurrence = job.occurrences[k];
     if (occurrence.is_done || !occurrence.steps.empty()) continue;
     if (job.spec.repeat_count > 0) {
       const std::int64_t due = job.spec.start_at_unix_ms + static_cast<std::int64_t>(k) * job.spec.interval_ms;
-      if (m_standing.unix_now_ms < due) return;
+      if (m_standing.unix_now_ms < due) return false;
     }
     OpenOccurrence(job, k);
     m_needs_placing = true;
     Mark(job);
   }
+  return true;
 }
 
 }  // namespace jaymast
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -115,7 +115,8 @@
   void SetObjective(Job& job);
   void FinishTask(Job& job, const TaskKey& key, TaskState& task);
   void EndJob(Job& job, JobState state);
-  void OpenDueOccurrences(Job& job);
+  /// @return whether no occurrence of the job is left that is due later
+  bool OpenDueOccurrences(Job& job);
   bool IsSettled(const Job& job) const;
   static bool IsUntouched(const Job& job);
   /// Puts what the store does not have of a job into the next transaction.
@@ -148,6 +149,7 @@
   // scheduler_upstreams.cc
   UpstreamState* FindUpstream(const UpstreamId& id);
   bool IsUsable(const UpstreamState& upstream) const;
+  void RepeatStops(UpstreamState& upstream);
   void SyncIfDue(UpstreamState& upstream);
   void OnSyncReply(const UpstreamId& id, std::uint64_t number, const SyncReply& reply);
   void OnRunning(UpstreamState& upstream, const RunningRow& row);
@@ -184,7 +186,8 @@
   Time m_config_current_at{};
   std::set<DomainId> m_domains_out;
   std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
-  std::set<JobId> m_active;
+  std::map<JobId, Job*> m_active;    ///< jobs that have not ended
+  std::map<JobId, Job*> m_unopened;  ///< active jobs with occurrences that are not due yet
   std::deque<JobId> m_commit_queue;
   RecordLog m_log;
   std::deque<std::pair<Time, JobId>> m_ended;  ///< when ended jobs are forgotten
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -121,8 +121,8 @@
       load.total_cores += static_cast<double>(upstream.listing.capacity.cpu_millis) / 1000.0;
       load.free_cores += static_cast<double>(std::max<std::int64_t>(0, upstream.Free().cpu_millis)) / 1000.0;
     }
-    for (const JobId& active : m_active) {
-      const Job& other = *m_jobs[active];
+    for (const auto& [active, entry] : m_active) {
+      const Job& other = *entry;
       const QueueConfig* other_queue = QueueOf(other);
       if (other_queue == nullptr || other_queue->priority > queue.priority || m_now > other.late_bound) continue;
       for (const Occurrence& occurrence : other.occurrences) {
@@ -155,10 +155,10 @@
   auto stored = std::make_unique<Job>(std::move(job));
   Job& accepted = *stored;
   m_jobs[id] = std::move(stored);
-  m_active.insert(id);
+  m_active[id] = &accepted;
   Mark(accepted);
   WhenCommitted(accepted, [reply] { reply({ClientOutcome::kAccepted}); });
-  OpenDueOccurrences(accepted);
+  if (!OpenDueOccurrences(accepted)) m_unopened[id] = &accepted;
   m_ports.events.Emit("job.accepted", {{"job", id.value()}, {"queue", queue.id.value()}, {"team", team.value()}});
 }
 
@@ -174,9 +174,8 @@
 }
 
 std::int64_t Scheduler::CountWaiting(const QueueId& queue) const {
-  return std::count_if(m_active.begin(), m_active.end(), [this, &queue](const JobId& id) {
-    const Job& job = *m_jobs.at(id);
-    return job.queue == queue && !job.has_started;
+  return std::count_if(m_active.begin(), m_active.end(), [&queue](const auto& entry) {
+    return entry.second->queue == queue && !entry.second->has_started;
   });
 }
 
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -176,7 +176,9 @@
   task.confirmed_at = Time::max();
   Mark(job);
   task.stop_due = m_now + kStopRetry;
-  SendStop(m_upstreams[task.upstream], key, task.run);
+  UpstreamState& upstream = m_upstreams[task.upstream];
+  upstream.next_stop = std::min(upstream.next_stop, task.stop_due);
+  SendStop(upstream, key, task.run);
 }
 
 void Scheduler::SendStop(const UpstreamState& upstream, const TaskKey& key, std::int32_t run) {
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -37,10 +37,10 @@
   m_next_place = m_now + kIdlePlacePause;
   m_reserved.clear();
   std::vector<StepRef> refs;
-  for (const JobId& id : m_active) {
-    Job& job = *m_jobs[id];
-    const QueueConfig* queue = QueueOf(job);
-    if (queue == nullptr || m_config == nullptr) continue;
+  if (m_config == nullptr) return;
+  for (const auto& [id, entry] : m_active) {
+    Job& job = *entry;
+    const QueueConfig* queue = nullptr;
     const int group = m_now < job.objective ? 0 : (m_now < job.late_bound ? 1 : 2);
     for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
       Occurrence& occurrence = job.occurrences[k];
@@ -51,7 +51,9 @@
         const bool is_ready = std::all_of(after.begin(), after.end(), [&occurrence](std::size_t before) {
           return occurrence.steps[before].not_done == 0;
         });
-        if (is_ready) refs.push_back({&job, k, s, group, queue->priority, job.objective});
+        if (!is_ready) continue;
+        if (queue == nullptr) queue = QueueOf(job);
+        if (queue != nullptr) refs.push_back({&job, k, s, group, queue->priority, job.objective});
       }
     }
   }
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -72,17 +72,25 @@
          !m_domains_out.contains(upstream.listing.domain);
 }
 
-void Scheduler::SyncIfDue(UpstreamState& upstream) {
-  const UpstreamId id = upstream.listing.id;
-  if (!upstream.tasks.empty() && m_now >= upstream.lapse_at) LoseAll(upstream, "lease lapsed");
+void Scheduler::RepeatStops(UpstreamState& upstream) {
+  upstream.next_stop = Time::max();
   for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) {
     TaskState* task = FindTask(key);
-    if (task == nullptr || task->phase != TaskPhase::kStopping || m_now < task->stop_due) continue;
-    task->stop_due = m_now + kStopRetry;
-    SendStop(upstream, key, task->run);
+    if (task == nullptr || task->phase != TaskPhase::kStopping) continue;
+    if (m_now >= task->stop_due) {
+      task->stop_due = m_now + kStopRetry;
+      SendStop(upstream, key, task->run);
+    }
+    upstream.next_stop = std::min(upstream.next_stop, task->stop_due);
   }
+}
+
+void Scheduler::SyncIfDue(UpstreamState& upstream) {
+  if (!upstream.tasks.empty() && m_now >= upstream.lapse_at) LoseAll(upstream, "lease lapsed");
+  if (m_now >= upstream.next_stop) RepeatStops(upstream);
   if (upstream.is_syncing || m_now < upstream.next_sync || upstream.listing.address.empty()) return;
   if (!upstream.is_listed && upstream.tasks.empty()) return;
+  const UpstreamId id = upstream.listing.id;
   const bool has_unstored = !upstream.ends.empty();
   SyncOrder order;
   order.target = {id, upstream.listing.address, upstream.token};
--- a/src/cell/upstream_state.h
+++ b/src/cell/upstream_state.h
@@ -31,6 +31,9 @@
   /// When everything that was started here has surely lapsed, unless a lease is extended.
   Time lapse_at{};
 
+  /// When a stop has to be sent again; not later than the first one due.
+  Time next_stop = Time::max();
+
   // Sync.
   bool is_syncing = false;
   std::uint64_t sync_number = 0;
