--- a/cmake/platform_entry.cmake
+++ b/cmake/platform_entry.cmake
@@ -10,4 +10,4 @@
 target_compile_options(jaymast-platform-entry PRIVATE -Wall -Wextra -Wpedantic)
 target_compile_definitions(jaymast-platform-entry PRIVATE
   JAYMAST_VERSION="${PROJECT_VERSION}" BOOST_ASIO_DISABLE_EPOLL_IO_URING)
-target_link_libraries(jaymast-platform-entry PRIVATE Threads::Threads OpenSSL::SSL OpenSSL::Crypto fmt::fmt)
+target_link_libraries(jaymast-platform-entry PRIVATE Threads::Threads OpenSSL::SSL OpenSSL::Crypto fmt::fmt prometheus-cpp::core)
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -83,6 +83,11 @@
 
   std::size_t active_jobs() const { return m_active.size(); }
   std::size_t known_jobs() const { return m_jobs.size(); }
+  std::size_t uncommitted_jobs() const { return m_commit_queue.size(); }
+  std::size_t record_rows() const { return m_log.rows(); }
+  std::size_t upstreams() const { return m_upstreams.size(); }
+  std::size_t CountUsable() const;
+  std::size_t CountUnacknowledgedEnds() const;
 
  private:
   /// Work that this leader can't reach is over this long after the takeover: earlier leaders bound their leases so.
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -72,6 +72,17 @@
          !m_domains_out.contains(upstream.listing.domain);
 }
 
+std::size_t Scheduler::CountUsable() const {
+  return static_cast<std::size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                                                [this](const auto& entry) { return IsUsable(entry.second); }));
+}
+
+std::size_t Scheduler::CountUnacknowledgedEnds() const {
+  std::size_t count = 0;
+  for (const auto& [id, upstream] : m_upstreams) count += upstream.ends.size();
+  return count;
+}
+
 void Scheduler::RepeatStops(UpstreamState& upstream) {
   upstream.next_stop = Time::max();
   for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) {
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -312,6 +312,31 @@
   return m_now - m_leader_heard_at < kReadySilence && m_now - m_leader_wrote_at < kReadyStall;
 }
 
+std::map<std::string, double> CellInstance::Gauges() const {
+  const auto seconds = [this](Time since) { return std::chrono::duration<double>(m_now - since).count(); };
+  std::map<std::string, double> gauges = {
+      {"jaymast_leader", m_term != nullptr ? 1 : 0},
+      {"jaymast_ready", is_ready() ? 1 : 0},
+      {"jaymast_epoch", static_cast<double>(m_leadership.leader_epoch())},
+      {"jaymast_open_calls", static_cast<double>(m_relay.open_calls())},
+  };
+  if (m_term == nullptr) {
+    if (m_leader_heard_at != Time{}) gauges["jaymast_leader_silence_seconds"] = seconds(m_leader_heard_at);
+    return gauges;
+  }
+  const Scheduler& scheduler = m_term->scheduler();
+  gauges["jaymast_unconfirmed_seconds"] = seconds(m_term->journal().confirmed_at());
+  gauges["jaymast_active_jobs"] = static_cast<double>(scheduler.active_jobs());
+  gauges["jaymast_known_jobs"] = static_cast<double>(scheduler.known_jobs());
+  gauges["jaymast_uncommitted_jobs"] = static_cast<double>(scheduler.uncommitted_jobs());
+  gauges["jaymast_record_rows"] = static_cast<double>(scheduler.record_rows());
+  gauges["jaymast_upstreams"] = static_cast<double>(scheduler.upstreams());
+  gauges["jaymast_usable_upstreams"] = static_cast<double>(scheduler.CountUsable());
+  gauges["jaymast_unacknowledged_ends"] = static_cast<double>(scheduler.CountUnacknowledgedEnds());
+  gauges["jaymast_followers"] = static_cast<double>(m_followers.size());
+  return gauges;
+}
+
 bool CellInstance::has_left() const { return m_is_stopping && m_term == nullptr; }
 
 }  // namespace jaymast
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -74,6 +74,8 @@
   bool is_leader() const { return m_term != nullptr; }
   const CellTerm* term() const { return m_term.get(); }
   std::size_t open_calls() const { return m_relay.open_calls(); }
+  /// Values of this moment by the name under which metrics show them.
+  std::map<std::string, double> Gauges() const;
 
  private:
   class PeerPolicy;
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -44,11 +44,20 @@
   m_feeds->OnTick(now);
   m_scheduler.SetStanding({m_journal.confirmed_at(), m_journal.IsStalled(now, kStallBound),
                            m_journal.IsStalled(now, kOutageBound), m_journal.store_now_ms(now), unix_now_ms});
+  NoteStore();
   if (!m_is_loaded) return;
   m_scheduler.OnTick(now);
   m_journal.OnTick(now);
 }
 
+void CellTerm::NoteStore() {
+  const bool is_stalled = m_journal.IsStalled(m_now, kStallBound);
+  if (is_stalled == m_is_stalled) return;
+  m_is_stalled = is_stalled;
+  const std::string unconfirmed_ms = std::to_string(ToMillis(m_now - m_journal.confirmed_at()));
+  m_events.Emit(is_stalled ? "store.lost" : "store.regained", {{"unconfirmed_ms", unconfirmed_ms}});
+}
+
 void CellTerm::OnClientCall(const ClientCall& call, const ClientReplyFunction& reply) {
   if (!m_is_loaded) return reply({ClientOutcome::kNotLeader});
   m_scheduler.OnClientCall(call, reply);
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -58,6 +58,8 @@
   void AddJob(const JobId& id, const Loaded& loaded, std::int64_t store_now_ms);
   void FinishJobs(std::int64_t store_now_ms);
   void CheckLoaded();
+  /// Tells when the store stops to answer and when it answers again.
+  void NoteStore();
 
   StateStore& m_store;
   CellEventSink& m_events;
@@ -74,6 +76,7 @@
   bool m_has_config = false;
   bool m_has_list = false;
   bool m_is_loaded = false;
+  bool m_is_stalled = false;
 };
 
 }  // namespace jaymast
