--- a/src/instance/cell_world_test.cc
+++ b/src/instance/cell_world_test.cc
@@ -201,43 +201,53 @@
   ExpectNoViolation(world);
 }
 
-// Guards against more rows than a slow store takes: 90 in a transaction, and 2.5 transactions a second.
-TEST(CellWorldTest, SlowStoreTakesABurstOfJobs) {
-  CellWorld world(2, 12);
+/// A leader in a world whose store is slow for it.
+int LeaderWithSlowStore(CellWorld& world) {
   world.Run(seconds(2));
   const int leader = world.Leader();
   world.At(leader).store->fault = StoreFault::kSlow;
-  constexpr int kJobs = 240;
-  for (int i = 0; i < kJobs; ++i) {
-    world.Call(leader, "POST", "job" + std::to_string(i), "tasks=1 ms=300");
-    world.Run(milliseconds(12));
+  return leader;
+}
+
+void SubmitSteadily(CellWorld& world, int instance, int jobs, const std::string& body, Duration pause) {
+  for (int i = 0; i < jobs; ++i) {
+    world.Call(instance, "POST", "job" + std::to_string(i), body);
+    world.Run(pause);
   }
+}
+
+void ExpectAllAccepted(const CellWorld& world, int jobs) {
+  for (int i = 0; i < jobs; ++i) EXPECT_EQ(world.LastStatus("POST job" + std::to_string(i)), kAccepted) << i;
+}
+
+void ExpectAllCompleted(CellWorld& world, int jobs) {
+  for (int i = 0; i < jobs; ++i) EXPECT_EQ(StateOf(world, 0, "job" + std::to_string(i)), "completed") << i;
+}
+
+// Guards against more rows than a slow store takes: 90 in a transaction, and 2.5 transactions a second.
+TEST(CellWorldTest, SlowStoreTakesABurstOfJobs) {
+  constexpr int kJobs = 240;
+  CellWorld world(2, 12);
+  const int leader = LeaderWithSlowStore(world);
+  SubmitSteadily(world, leader, kJobs, "tasks=1 ms=300", milliseconds(12));
   world.Run(seconds(3));
   EXPECT_EQ(world.Leader(), leader);
-  for (int i = 0; i < kJobs; ++i) {
-    const std::string job = "job" + std::to_string(i);
-    EXPECT_EQ(world.LastStatus("POST " + job), kAccepted) << job;
-    EXPECT_EQ(StateOf(world, 0, job), "completed") << job;
-  }
+  ExpectAllAccepted(world, kJobs);
+  ExpectAllCompleted(world, kJobs);
 }
 
 // Guards against a limit on the jobs that one transaction can carry.
 TEST(CellWorldTest, SlowStoreTakesTwoHundredJobsASecond) {
-  CellWorld world(2, 40);
-  world.Run(seconds(2));
-  const int leader = world.Leader();
-  world.At(leader).store->fault = StoreFault::kSlow;
   constexpr int kJobs = 800;
-  for (int i = 0; i < kJobs; ++i) {
-    world.Call(leader, "POST", "job" + std::to_string(i), "tasks=1 cpu=100 ms=300");
-    world.Run(milliseconds(5));
-  }
+  CellWorld world(2, 40);
+  const int leader = LeaderWithSlowStore(world);
+  SubmitSteadily(world, leader, kJobs, "tasks=1 cpu=100 ms=300", milliseconds(5));
   // Two transactions for the acceptance; the last job has a transaction each for its assignment and its end.
   world.Run(milliseconds(800));
-  for (int i = 0; i < kJobs; ++i) EXPECT_EQ(world.LastStatus("POST job" + std::to_string(i)), kAccepted) << i;
+  ExpectAllAccepted(world, kJobs);
   world.Run(milliseconds(1700));
   EXPECT_EQ(world.Leader(), leader);
-  for (int i = 0; i < kJobs; ++i) EXPECT_EQ(StateOf(world, 0, "job" + std::to_string(i)), "completed") << i;
+  ExpectAllCompleted(world, kJobs);
 }
 
 // Guards against a second transaction that is sent before it is certain what became of the first.
