Parse JSON objects with the one function that exists

It moves to base/json_object, as the program on the platform does not link the model slice, and the four copies are gone. The bound on the depth is 32 as before, which is also the default that the copies used.

--- /dev/null
+++ b/src/base/json_object.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+#include <string_view>
+
+#include "base/result.h"
+
+namespace jaymast {
+
+/// Parses a text as a JSON object of bounded depth.
+Result<boost::json::object> ParseObject(std::string_view text, std::string_view path);
+
+}  // namespace jaymast
--- a/src/cell/leader_record.cc
+++ b/src/cell/leader_record.cc
@@ -1,12 +1,11 @@
 #include "cell/leader_record.h"
 
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/system/error_code.hpp>
 #include <limits>
 
 #include "base/field_reader.h"
+#include "base/json_object.h"
 
 namespace jaymast {
 namespace {
@@ -23,10 +22,9 @@
 }
 
 std::optional<LeaderRecord> DecodeLeaderRecord(std::string_view text) {
-  boost::system::error_code ec;
-  const boost::json::value value = boost::json::parse(text, ec);
-  if (ec || !value.is_object()) return std::nullopt;
-  FieldReader reader(value.get_object(), "leader");
+  const Result<boost::json::object> object = ParseObject(text, "leader");
+  if (!object) return std::nullopt;
+  FieldReader reader(*object, "leader");
   constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
   LeaderRecord record;
   record.epoch = static_cast<std::uint64_t>(reader.Int("epoch", 0, 0, kMax));
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -2,12 +2,11 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/system/error_code.hpp>
 #include <limits>
 
 #include "base/field_reader.h"
+#include "base/json_object.h"
 
 namespace jaymast {
 namespace {
@@ -17,13 +16,6 @@
 constexpr std::size_t kMaxTextBytes = 4096;
 constexpr std::int64_t kMaxInt = std::numeric_limits<std::int64_t>::max();
 
-std::optional<json::object> ParseObject(std::string_view text) {
-  boost::system::error_code ec;
-  json::value value = json::parse(text, ec);
-  if (ec || !value.is_object()) return std::nullopt;
-  return std::move(value.get_object());
-}
-
 }  // namespace
 
 std::string EncodeBeat(const Beat& beat) {
@@ -31,7 +23,7 @@
 }
 
 std::optional<Beat> DecodeBeat(std::string_view text) {
-  const std::optional<json::object> object = ParseObject(text);
+  const Result<json::object> object = ParseObject(text, "beat");
   if (!object) return std::nullopt;
   FieldReader reader(*object, "beat");
   const std::optional<LeaderRecord> record = DecodeLeaderRecord(reader.RequiredString("record", kMaxTextBytes));
@@ -45,7 +37,7 @@
 }
 
 std::optional<Hello> DecodeHello(std::string_view text) {
-  const std::optional<json::object> object = ParseObject(text);
+  const Result<json::object> object = ParseObject(text, "hello");
   if (!object) return std::nullopt;
   FieldReader reader(*object, "hello");
   Hello hello;
@@ -66,7 +58,7 @@
 }
 
 std::optional<PolicyQuestion> DecodeQuestion(std::string_view text) {
-  const std::optional<json::object> object = ParseObject(text);
+  const Result<json::object> object = ParseObject(text, "question");
   if (!object) return std::nullopt;
   FieldReader reader(*object, "question");
   PolicyQuestion question;
@@ -92,7 +84,7 @@
 }
 
 std::optional<PolicyAnswer> DecodeAnswer(std::string_view text) {
-  const std::optional<json::object> object = ParseObject(text);
+  const Result<json::object> object = ParseObject(text, "answer");
   if (!object) return std::nullopt;
   FieldReader reader(*object, "answer");
   PolicyAnswer answer;
--- a/src/jobs/job_record.cc
+++ b/src/jobs/job_record.cc
@@ -5,13 +5,13 @@
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/system/error_code.hpp>
 #include <charconv>
 #include <limits>
 
 #include "base/field_reader.h"
+#include "base/json_object.h"
 
 namespace jaymast {
 namespace {
@@ -172,10 +172,9 @@
 
 Result<Job> DecodeJobRecord(const JobId& id, std::string_view text) {
   const std::string path = "job/" + id.value();
-  boost::system::error_code ec;
-  const json::value value = json::parse(text, ec);
-  if (ec || !value.is_object()) return Error{ErrorId::kInputSyntax, path, "not a JSON object"};
-  FieldReader reader(value.get_object(), path);
+  const Result<json::object> object = ParseObject(text, path);
+  if (!object) return object.error();
+  FieldReader reader(*object, path);
   Job job;
   job.id = id;
   job.queue = QueueId(reader.RequiredString("q", kMaxTextBytes));
@@ -208,10 +207,9 @@
 }
 
 bool ApplyProgressRecord(std::string_view text, Job& job) {
-  boost::system::error_code ec;
-  const json::value value = json::parse(text, ec);
-  if (ec || !value.is_object()) return false;
-  FieldReader reader(value.get_object(), "progress/" + job.id.value());
+  const Result<json::object> object = ParseObject(text, "progress");
+  if (!object) return false;
+  FieldReader reader(*object, "progress/" + job.id.value());
   job.state = reader.Enum("s", JobState::kPending);
   job.shown = job.state;
   job.has_started = reader.Bool("b", false);
--- a/src/model/codec.cc
+++ b/src/model/codec.cc
@@ -14,7 +14,6 @@
 namespace json = boost::json;
 
 constexpr std::size_t kMaxNameBytes = 128;
-constexpr std::size_t kMaxJsonDepth = 32;
 constexpr std::int64_t kMaxCpuMillis = 1'000'000;
 constexpr std::int64_t kMaxMemoryMb = 64LL * 1024 * 1024;
 constexpr std::int64_t kMaxAccelerators = 1024;
@@ -184,16 +183,6 @@
 
 }  // namespace
 
-Result<json::object> ParseObject(std::string_view text, std::string_view path) {
-  json::parse_options options;
-  options.max_depth = kMaxJsonDepth;
-  boost::system::error_code ec;
-  json::value value = json::parse(text, ec, {}, options);
-  if (ec) return Error{ErrorId::kInputSyntax, std::string(path), "malformed JSON: " + ec.message()};
-  if (!value.is_object()) return Error{ErrorId::kInputSyntax, std::string(path), "expected a JSON object"};
-  return std::move(value.get_object());
-}
-
 json::object ToJson(const Resources& resources) {
   return {{"cpu_millis", resources.cpu_millis},
           {"memory_mb", resources.memory_mb},
--- a/src/model/codec.h
+++ b/src/model/codec.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/json_object.h"
 #include "base/result.h"
 #include "model/cluster_config.h"
 #include "model/instance_list.h"
@@ -16,9 +17,6 @@
 /// Largest accepted task body in bytes.
 inline constexpr std::size_t kMaxBodyBytes = 1U << 20U;
 
-/// Parses a text as a JSON object of bounded depth.
-Result<boost::json::object> ParseObject(std::string_view text, std::string_view path);
-
 boost::json::object ToJson(const Resources& resources);
 Result<Resources> ResourcesFromJson(const boost::json::object& object, const std::string& path);
 
