--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -89,7 +89,8 @@
            }}),
       m_leadership(m_ports.store, m_address, rank, cpu_millis < kStrongCpuMillis,
                    [this](const LeaderRecord& record, std::int64_t version) { BeginTerm(record, version); }),
-      m_peer_policy(std::make_unique<PeerPolicy>(*this)) {}
+      m_peer_policy(std::make_unique<PeerPolicy>(*this)),
+      m_leader_lost_at(Time{} + kLeaderSilence) {}
 
 CellInstance::~CellInstance() = default;
 
@@ -106,12 +107,13 @@
     if (now >= m_next_beat) SendBeats();
     YieldToStronger();
     m_relay.SetLeader(true, "", m_term->journal().epoch(), now);
+    // After the term the next leader has as much time to be heard as the last one had.
+    m_leader_lost_at += now - m_leader_heard_at;
     m_leader_heard_at = now;
   } else {
     const std::string& leader = m_leadership.leader_address();
     const bool is_known = !leader.empty() && leader != m_address;
-    const Duration silence = std::max(kLeaderSilence, m_beat_gap * kBeatsOfSilence);
-    m_relay.SetLeader(is_known && now - m_leader_heard_at < silence, leader, m_leadership.leader_epoch(), now);
+    m_relay.SetLeader(is_known && now < m_leader_lost_at, leader, m_leadership.leader_epoch(), now);
     if (is_known && now >= m_next_hello && now - m_leader_heard_at > kHelloPause) SendHello();
   }
   m_relay.OnTick(now);
@@ -265,7 +267,8 @@
 
 void CellInstance::OnBeat(const Beat& beat) {
   if (m_term != nullptr || beat.record.epoch < m_leadership.leader_epoch()) return;
-  m_beat_gap = std::min(m_now - m_leader_heard_at, kMaxBeatGap);
+  const Duration gap = std::min(m_now - m_leader_heard_at, kMaxBeatGap);
+  m_leader_lost_at = m_now + std::max(kLeaderSilence, gap * kBeatsOfSilence);
   m_leader_heard_at = m_now;
   if (beat.version != m_leader_version) m_leader_wrote_at = m_now;
   m_leader_version = beat.version;
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -117,7 +117,7 @@
   Time m_next_beat{};
   Time m_next_hello{};
   Time m_leader_heard_at{};
-  Duration m_beat_gap{};     ///< between the last two beats of the leader
+  Time m_leader_lost_at;     ///< calls are not passed to the leader from then on, unless it is heard before
   Time m_leader_wrote_at{};  ///< when the row of the leader was first seen with its present version
   std::int64_t m_leader_version = 0;
   bool m_is_stopping = false;
