Drop unread state and merge what was written twice

Written twice: the first knowledge of an upstream, the room that a task takes, whether a job is settled, the time of day, the status 410, and the rows of the platform's store, which were decoded into two lists with a copy of each value. How many steps of an occurrence are left is counted where its record is read, not again after all records.

--- a/src/base/http_status.h
+++ b/src/base/http_status.h
@@ -11,6 +11,7 @@
 inline constexpr int kStatusForbidden = 403;
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusConflict = 409;
+inline constexpr int kStatusGone = 410;
 inline constexpr int kStatusTooLarge = 413;
 inline constexpr int kStatusUnprocessable = 422;
 inline constexpr int kStatusBusy = 429;
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -40,7 +40,6 @@
   void HandOver(std::string successor);
 
   bool is_handed_over() const { return m_is_handed_over; }
-  bool is_idle() const { return !m_in_flight && !m_is_dirty; }
   std::uint64_t epoch() const { return m_record.epoch; }
   /// The leader row as of the last transaction that certainly took effect.
   const LeaderRecord& committed_record() const { return m_committed_record; }
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -44,12 +44,9 @@
   /// This instance does not take over any more.
   void Retire() { m_is_retired = true; }
 
-  bool is_leader() const { return m_is_leader; }
   /// Address of the leader as last seen, empty when unknown or handed over.
   const std::string& leader_address() const { return m_leader.address; }
   std::uint64_t leader_epoch() const { return m_leader.epoch; }
-  /// When the leader last showed progress.
-  Time progress_at() const { return m_progress_at; }
 
   /// The row must be unchanged for this time; above three times the idle pause of the journal.
   static constexpr Duration kTakeoverSilence{750'000};
--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -56,11 +56,8 @@
     SetObjective(*job);
     for (std::size_t k = 0; k < job->occurrences.size(); ++k) {
       Occurrence& occurrence = job->occurrences[k];
-      if (occurrence.is_done) continue;
-      occurrence.steps_left = 0;
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         StepState& step = occurrence.steps[s];
-        if (step.not_done > 0) ++occurrence.steps_left;
         for (std::size_t i = 0; i < step.tasks.size(); ++i) {
           TaskState& task = step.tasks[i];
           if (!HoldsRoom(task.phase)) continue;
@@ -218,17 +215,10 @@
 }
 
 void Scheduler::Hold(Job& job, const TaskKey& key, TaskState& task, const UpstreamId& upstream) {
-  UpstreamState& state = m_upstreams[upstream];
-  if (state.listing.id.empty()) {
-    state.listing.id = upstream;
-    state.token = m_epoch << 20U;
-    state.lapse_at = m_took_over_at + kLongestLease;
-  }
+  UpstreamState& state = KnowUpstream(upstream);
   const StepSpec& spec = job.spec.steps[key.step];
-  Resources demand = spec.demand;
-  m_team_use[job.team] += demand;
-  if (spec.fills) demand.cpu_millis = 0;
-  state.used += demand;
+  m_team_use[job.team] += spec.demand;
+  state.used += spec.held_demand();
   state.tasks.push_back(key);
   task.upstream = upstream;
 }
@@ -236,10 +226,8 @@
 void Scheduler::Release(Job& job, const TaskKey& key, TaskState& task) {
   UpstreamState& state = m_upstreams[task.upstream];
   const StepSpec& spec = job.spec.steps[key.step];
-  Resources demand = spec.demand;
-  m_team_use[job.team] -= demand;
-  if (spec.fills) demand.cpu_millis = 0;
-  state.used -= demand;
+  m_team_use[job.team] -= spec.demand;
+  state.used -= spec.held_demand();
   const auto found = std::find(state.tasks.begin(), state.tasks.end(), key);
   if (found != state.tasks.end()) {
     *found = state.tasks.back();
@@ -301,8 +289,6 @@
   Mark(job);
 }
 
-bool Scheduler::IsSettled(const Job& job) const { return IsFinal(job.state) && !HoldsRoomAnywhere(job); }
-
 bool Scheduler::OpenDueOccurrences(Job& job) {
   for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
     Occurrence& occurrence = job.occurrences[k];
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -122,7 +122,6 @@
   void EndJob(Job& job, JobState state);
   /// @return whether no occurrence of the job is left that is due later
   bool OpenDueOccurrences(Job& job);
-  bool IsSettled(const Job& job) const;
   static bool IsUntouched(const Job& job);
   /// Puts what the store does not have of a job into the next transaction.
   void Record(Job& job);
@@ -153,6 +152,8 @@
 
   // scheduler_upstreams.cc
   UpstreamState* FindUpstream(const UpstreamId& id);
+  /// The upstream, which becomes known by this if it was not.
+  UpstreamState& KnowUpstream(const UpstreamId& id);
   bool IsUsable(const UpstreamState& upstream) const;
   void RepeatStops(UpstreamState& upstream);
   void SyncIfDue(UpstreamState& upstream);
@@ -202,7 +203,7 @@
   AdviceDesk m_desk;
   Admission m_admission;
   std::map<QueueId, double> m_allowed_share;  ///< learned share of upstreams that the policy allows
-  std::map<UpstreamId, int> m_reserved;       ///< for waiting gangs, within one pass
+  std::set<UpstreamId> m_reserved;            ///< for waiting gangs, within one pass
   std::uint64_t m_token_counter = 0;
   bool m_is_retired = false;
   bool m_needs_placing = true;
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -201,8 +201,7 @@
     double best_score = std::numeric_limits<double>::max();
     for (UpstreamState* upstream : candidates) {
       if (Slots(ref, *upstream, upstream->Free()) < 1) continue;
-      const auto reserved = m_reserved.find(upstream->listing.id);
-      if (reserved != m_reserved.end()) continue;
+      if (m_reserved.contains(upstream->listing.id)) continue;
       const Resources& capacity = upstream->listing.capacity;
       const Resources free = upstream->Free();
       double score =
@@ -232,7 +231,7 @@
   for (const UpstreamState* upstream : ordered) {
     if (covered >= spec.task_count) return;
     covered += Slots(ref, *upstream, upstream->listing.capacity);
-    m_reserved[upstream->listing.id] = 1;
+    m_reserved.insert(upstream->listing.id);
   }
 }
 
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -37,12 +37,18 @@
   return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
-void Scheduler::OnUpstreamListed(UpstreamListing listing) {
-  UpstreamState& upstream = m_upstreams[listing.id];
+UpstreamState& Scheduler::KnowUpstream(const UpstreamId& id) {
+  UpstreamState& upstream = m_upstreams[id];
   if (upstream.listing.id.empty()) {
+    upstream.listing.id = id;
     upstream.token = m_epoch << 20U;
     upstream.lapse_at = m_took_over_at + kLongestLease;
   }
+  return upstream;
+}
+
+void Scheduler::OnUpstreamListed(UpstreamListing listing) {
+  UpstreamState& upstream = KnowUpstream(listing.id);
   if (!upstream.is_listed || upstream.listing.is_draining != listing.is_draining) {
     m_ports.events.Emit("upstream.listed",
                         {{"upstream", listing.id.value()}, {"draining", listing.is_draining ? "true" : "false"}});
--- a/src/cell_testing/cell_world.h
+++ b/src/cell_testing/cell_world.h
@@ -117,7 +117,7 @@
     jobs.stretch = 4;
     jobs.target_duration_ms = 5000;
     config->queues.push_back(jobs);
-    config->teams[TeamId("team")] = TeamConfig{TeamId("team"), {"key"}, 1000, {}};
+    config->teams[TeamId("team")] = TeamConfig{TeamId("team"), 1000, {}};
     config->team_of_key["key"] = TeamId("team");
     for (int i = 0; i < upstreams; ++i) {
       UpstreamListing listing;
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -43,10 +43,10 @@
 void Relay::Try(const CallPtr& call, Time now) {
   if (call->is_done) return;
   call->is_open = true;
-  call->attempt_deadline = std::min(call->deadline, now + kAttemptTime);
+  const Time attempt_deadline = std::min(call->deadline, now + kAttemptTime);
   const std::uint64_t attempt = ++call->attempt;
   ++call->unresolved;
-  m_ports.send(m_address, call->request, call->attempt_deadline, [this, call, attempt](Attempt result) {
+  m_ports.send(m_address, call->request, attempt_deadline, [this, call, attempt](Attempt result) {
     if (call->is_done) return;
     --call->unresolved;
     if (result.was_sent && !result.is_undecided) call->may_have_run = true;
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -52,7 +52,6 @@
     Time came_at{};
     Time deadline{};
     Time next_attempt{};
-    Time attempt_deadline{};
     std::uint64_t attempt = 0;
     bool is_open = false;  ///< an attempt waits for its answer
     int unresolved = 0;    ///< attempts that were sent and have no result yet
--- a/src/jobs/cell_config.cc
+++ b/src/jobs/cell_config.cc
@@ -1,7 +1,5 @@
 #include "jobs/cell_config.h"
 
-#include <algorithm>
-
 namespace jaymast {
 
 const QueueConfig* CellConfig::FindQueue(std::string_view host, std::string_view path) const {
@@ -13,9 +11,4 @@
   return best;
 }
 
-const QueueConfig* CellConfig::FindQueue(const QueueId& id) const {
-  const auto found = std::find_if(queues.begin(), queues.end(), [&id](const auto& queue) { return queue.id == id; });
-  return found == queues.end() ? nullptr : &*found;
-}
-
 }  // namespace jaymast
--- a/src/jobs/cell_config.h
+++ b/src/jobs/cell_config.h
@@ -39,7 +39,6 @@
 
 struct TeamConfig {
   TeamId id;
-  std::vector<std::string> keys;
   double weight = 1;  ///< share when all is full; jobs a second that are always owed an answer
   Resources limit;    ///< most that may run at a time; 0 means no limit
 };
@@ -53,7 +52,6 @@
 
   /// Queue with the longest prefix of the path on this host, or nullptr.
   const QueueConfig* FindQueue(std::string_view host, std::string_view path) const;
-  const QueueConfig* FindQueue(const QueueId& id) const;
 };
 
 }  // namespace jaymast
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -78,7 +78,6 @@
   std::int64_t not_done = 0;     ///< tasks that are not done
   bool is_gang_done = false;     ///< one member ended as done, which counts for all
   std::int32_t gang_failed = 0;  ///< highest run of the gang that was counted as failed
-  bool was_started = false;      ///< in the list of steps that may be placed
 };
 
 struct Occurrence {
--- a/src/jobs/job_record.cc
+++ b/src/jobs/job_record.cc
@@ -143,12 +143,14 @@
   return false;
 }
 
+bool IsSettled(const Job& job) { return IsFinal(job.state) && !HoldsRoomAnywhere(job); }
+
 std::string EncodeProgressRecord(const Job& job) {
   json::object out;
   out["s"] = ToString(job.state);
   out["b"] = job.has_started;
   json::array occurrences;
-  const bool is_settled = IsFinal(job.state) && !HoldsRoomAnywhere(job);
+  const bool is_settled = IsSettled(job);
   for (const Occurrence& occurrence : job.occurrences) {
     if (is_settled || occurrence.is_done) {
       occurrences.emplace_back(1);
@@ -245,6 +247,7 @@
         if (step.tasks[i].phase == TaskPhase::kWaiting) ++step.waiting;
         if (step.tasks[i].phase != TaskPhase::kDone) ++step.not_done;
       }
+      if (step.not_done == 0) --job.occurrences[k].steps_left;
     }
   }
   return true;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -17,6 +17,9 @@
 /// Whether a task of the job has room on an upstream.
 bool HoldsRoomAnywhere(const Job& job);
 
+/// Whether the job has ended and nothing of it runs any more.
+bool IsSettled(const Job& job);
+
 /// Encodes what changes: runs, failures, upstreams and checkpoints of all tasks.
 std::string EncodeProgressRecord(const Job& job);
 
--- a/src/jobs/job_spec.h
+++ b/src/jobs/job_spec.h
@@ -32,6 +32,13 @@
   std::string image;                      ///< tasks of one image behave alike
   std::int64_t latency_objective_ms = 0;  ///< bound of the tail latency of a serving task, 0 for none
   std::int64_t max_unavailable = 0;       ///< long-running tasks that planned work may take away at a time
+
+  /// What a task takes of the room of its upstream.
+  Resources held_demand() const {
+    Resources held = demand;
+    if (fills) held.cpu_millis = 0;
+    return held;
+  }
 };
 
 /// A job as its client sent it. Does not change after acceptance.
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -17,6 +17,7 @@
 #include "net/blocking_http_client.h"
 #include "net/http_client.h"
 #include "net/io_pool.h"
+#include "runtime/wall_clock.h"
 
 namespace jaymast {
 namespace {
@@ -34,11 +35,6 @@
 /// Demand of each task. Small, so that the slots of a runner are what limits it.
 constexpr Resources kDemand{100, 16, 0, 1};
 
-std::int64_t WallMillis() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 HttpRequest ToHttp(HttpCall call) { return {std::move(call.method), std::move(call.target), {}, std::move(call.body)}; }
 
 /// Stable id of a problem, or the HTTP status when the body is no problem.
--- a/src/runtime/process_clock.h
+++ b/src/runtime/process_clock.h
@@ -3,6 +3,7 @@
 #include <chrono>
 
 #include "base/time.h"
+#include "runtime/wall_clock.h"
 
 namespace jaymast {
 
@@ -23,9 +24,6 @@
   static Duration SteadyMicros() {
     return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch());
   }
-  static Duration WallMicros() {
-    return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
-  }
 
   const Duration m_offset;
 };
