--- /dev/null
+++ b/src/cell_testing/cell_checks.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "cell_testing/cell_world.h"
+
+namespace jaymast {
+
+inline constexpr int kAccepted = static_cast<int>(ClientOutcome::kAccepted);
+inline constexpr int kState = static_cast<int>(ClientOutcome::kState);
+inline constexpr int kCancelled = static_cast<int>(ClientOutcome::kCancelled);
+inline constexpr int kUnknownKey = static_cast<int>(ClientOutcome::kUnknownKey);
+inline constexpr int kNoSuchJob = static_cast<int>(ClientOutcome::kNoSuchJob);
+
+/// State of a job as an instance shows it.
+inline std::string StateOf(CellWorld& world, int index, const std::string& job) {
+  world.Call(index, "GET", job);
+  world.Run(std::chrono::milliseconds(300));
+  return world.LastBody("GET " + job);
+}
+
+inline void ExpectNoViolation(const CellWorld& world) {
+  for (const std::string& violation : world.record.violations) ADD_FAILURE() << violation;
+}
+
+/// Index of an instance that does not lead.
+inline int AnyFollower(const CellWorld& world) { return world.Leader() == 0 ? 1 : 0; }
+
+}  // namespace jaymast
--- /dev/null
+++ b/src/instance/cell_fault_schedule_test.cc
@@ -0,0 +1,95 @@
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+
+#include "cell_testing/cell_checks.h"
+
+namespace jaymast {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Random schedules of faults. Each seed is one schedule, the same in every run.
+class FaultScheduleTest : public testing::TestWithParam<unsigned> {};
+
+// Guards against double runs, overcommitted upstreams, lost jobs and unanswered calls under combined faults.
+TEST_P(FaultScheduleTest, GuaranteesHold) {
+  constexpr int kInstances = 4;
+  constexpr int kUpstreams = 6;
+  constexpr int kJobs = 60;
+  std::mt19937 random(GetParam());
+  const auto pick = [&random](int bound) { return static_cast<int>(random() % static_cast<unsigned>(bound)); };
+  CellWorld world(kInstances, kUpstreams);
+  world.Run(seconds(2));
+  world.loses_start_answer = [&pick](const StartOrder&) { return pick(40) == 0; };
+  world.start_delay = [&pick](const StartOrder&) {
+    return pick(60) == 0 ? Duration(milliseconds(2000 + pick(6000))) : Duration::zero();
+  };
+  for (int i = 0; i < kJobs; ++i) {
+    const std::string gang = pick(5) == 0 ? " gang" : "";
+    world.Call(pick(kInstances), "POST", "job" + std::to_string(i),
+               "tasks=" + std::to_string(1 + pick(4)) + " ms=" + std::to_string(200 + pick(2000)) + gang);
+    const int instance = pick(kInstances);
+    const int upstream = pick(kUpstreams);
+    switch (pick(12)) {
+      case 0:
+        if (world.At(instance).is_up) {
+          world.Kill(instance);
+          world.queue.After(milliseconds(300 + pick(2000)), [&world, instance] {
+            if (!world.At(instance).is_up) world.Restart(instance);
+          });
+        }
+        break;
+      case 1: {
+        const auto fault = static_cast<StoreFault>(1 + pick(4));
+        world.At(instance).store->fault = fault;
+        world.queue.After(milliseconds(500 + pick(3000)),
+                          [&world, instance] { world.At(instance).store->fault = StoreFault::kNone; });
+        break;
+      }
+      case 2:
+        world.At(instance).is_frozen = true;
+        world.queue.After(milliseconds(500 + pick(3500)), [&world, instance] { world.At(instance).is_frozen = false; });
+        break;
+      case 3:
+        world.fleet[static_cast<std::size_t>(upstream)]->is_reachable = false;
+        world.queue.After(milliseconds(500 + pick(9000)),
+                          [&world, upstream] { world.fleet[static_cast<std::size_t>(upstream)]->is_reachable = true; });
+        break;
+      case 4:
+        world.fleet[static_cast<std::size_t>(upstream)]->Restart();
+        break;
+      case 5:
+        world.At(instance).cut_from.insert("u" + std::to_string(upstream));
+        world.At(instance).cut_from.insert("i" + std::to_string(pick(kInstances)));
+        world.queue.After(milliseconds(500 + pick(4000)), [&world, instance] { world.At(instance).cut_from.clear(); });
+        break;
+      default:
+        break;
+    }
+    world.Run(milliseconds(100 + pick(400)));
+  }
+  world.loses_start_answer = nullptr;
+  world.start_delay = nullptr;
+  world.Run(seconds(45));
+  ASSERT_GE(world.Leader(), 0);
+  for (int i = 0; i < kJobs; ++i) {
+    const std::string job = "job" + std::to_string(i);
+    if (world.LastStatus("POST " + job) != kAccepted) continue;
+    EXPECT_EQ(StateOf(world, world.Leader(), job), "completed");
+    EXPECT_EQ(world.LastStatus("GET " + job), kState);
+  }
+  ExpectNoViolation(world);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FaultScheduleTest, testing::Range(1U, 41U));
+
+// 106, 168: ends of a new life of an upstream were acknowledged unseen. 1390: a start left a process that had stood
+// still. 1972: the same with a repeated start. 1998 to 2000: unseen ends after a silence of the upstream.
+INSTANTIATE_TEST_SUITE_P(Regressions, FaultScheduleTest,
+                         testing::Values(106U, 168U, 1390U, 1972U, 1998U, 1999U, 2000U));
+
+}  // namespace
+}  // namespace jaymast
