Restart long-running tasks before other waiting work

Cause: waiting steps were ordered by lateness, which a long-running step always has after a while, since its objective is computed from its declared estimate. Change: Urgency replaces the lateness; a long-running step with a task that is down comes first, and no long-running step ever counts as late. Result: CellLongRunningTest fails before and passes after.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -101,11 +101,19 @@
   /// An upstream that refused a start or was unreachable gets no start for this time.
   static constexpr Duration kRefusalQuarantine{700'000};
 
+  /// Order in which waiting steps are placed, before their priority.
+  enum class Urgency {
+    kRestart,       ///< part of a long-running step is down
+    kTimely,        ///< before the objective, or a long-running step, whose age says nothing
+    kLate,          ///< between the objective and the hard deadline
+    kPastDeadline,  ///< past the hard deadline
+  };
+
   struct StepRef {
     Job* job = nullptr;
     std::size_t occurrence = 0;
     std::size_t step = 0;
-    int lateness = 0;  ///< 0: before the objective, 1: late, 2: past the hard deadline
+    Urgency urgency = Urgency::kTimely;
     std::int64_t priority = 0;
     Time objective{};
   };
@@ -181,6 +189,7 @@
   void PlaceTasks(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
   std::vector<UpstreamState*> FindCandidates(const StepRef& ref);
   bool CanRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const;
+  static Urgency UrgencyOfLongRunning(const StepState& step);
   std::int64_t CountSlots(const StepRef& ref, const UpstreamState& upstream, const Resources& free_capacity) const;
   void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
   void RequestTickets(const StepRef& ref, const QueueConfig& queue);
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -60,7 +60,9 @@
   for (const auto& [id, entry] : m_active) {
     Job& job = *entry;
     const QueueConfig* queue = nullptr;
-    const int lateness = m_now < job.objective ? 0 : (m_now < job.hard_deadline ? 1 : 2);
+    const Urgency by_time = m_now < job.objective
+                                ? Urgency::kTimely
+                                : (m_now < job.hard_deadline ? Urgency::kLate : Urgency::kPastDeadline);
     for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
       Occurrence& occurrence = job.occurrences[k];
       if (occurrence.is_done) continue;
@@ -72,17 +74,25 @@
                         [&occurrence](std::size_t dependency) { return occurrence.steps[dependency].not_done == 0; });
         if (!is_ready) continue;
         if (queue == nullptr) queue = QueueOf(job);
-        if (queue != nullptr) refs.push_back({&job, k, s, lateness, queue->priority, job.objective});
+        if (queue == nullptr) continue;
+        const Urgency urgency = job.spec.steps[s].is_long_running ? UrgencyOfLongRunning(occurrence.steps[s]) : by_time;
+        refs.push_back({&job, k, s, urgency, queue->priority, job.objective});
       }
     }
   }
   std::sort(refs.begin(), refs.end(), [](const StepRef& a, const StepRef& b) {
-    return std::tie(a.lateness, a.priority, a.objective, a.job->id, a.occurrence, a.step) <
-           std::tie(b.lateness, b.priority, b.objective, b.job->id, b.occurrence, b.step);
+    return std::tie(a.urgency, a.priority, a.objective, a.job->id, a.occurrence, a.step) <
+           std::tie(b.urgency, b.priority, b.objective, b.job->id, b.occurrence, b.step);
   });
   for (const StepRef& ref : refs) PlaceStep(ref);
 }
 
+Scheduler::Urgency Scheduler::UrgencyOfLongRunning(const StepState& step) {
+  const bool has_run =
+      std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskState& task) { return task.run > 0; });
+  return has_run ? Urgency::kRestart : Urgency::kTimely;
+}
+
 bool Scheduler::CanRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const {
   if (upstream.listing.service != queue.service || !IsUsable(upstream)) return false;
   return spec.required_label.empty() || upstream.HasLabel(spec.required_label);
@@ -223,7 +233,7 @@
 
 void Scheduler::ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
   if (m_reserved_upstreams.size() >= candidates.size() + kMaxReservingGangs * kMinRequestedUpstreams) return;
-  if (ref.lateness > 0 || m_now - ref.job->accepted < kReservationDelay) return;
+  if (ref.urgency > Urgency::kTimely || m_now - ref.job->accepted < kReservationDelay) return;
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   std::vector<UpstreamState*> ordered = candidates;
   std::stable_sort(ordered.begin(), ordered.end(), [](const auto* a, const auto* b) {
