Find the member that holds up a gang, and resume gangs from one checkpoint

Cause: a gang was stopped when the progress of any member was unchanged for 2.5 s. Members on unlike upstreams show 100 percent while slower ones still work, so gangs that worked were stopped. No upstream was quarantined, as the stalled member was unknown. Each member of a restarted gang carried its own checkpoint; all must carry the same. Ruled out: late starts of members (a gang is judged only after its last member has run for the stall timeout). Change: a member below 100 percent that no longer changes holds up its gang; its upstream is quarantined. If no member changes, it is the one with the least progress. Members share the checkpoint of the most advanced one. The fake upstreams end the members of a gang together and report checkpoints.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -181,15 +181,22 @@
   void MarkAllTasksLost(UpstreamState& upstream, std::string_view reason);
   void MarkTaskLost(const TaskKey& key, std::string_view reason);
   void StopStalledRuns(UpstreamState& upstream);
+  bool IsStalled(const TaskState& task) const;
+  /// Whether a stalled member keeps its gang from completing, so that its upstream is the one to avoid.
+  bool HoldsUpGang(const StepState& step, const TaskState& member) const;
+  /// Keeps an upstream from getting tasks for a while.
+  void Quarantine(UpstreamState& upstream, std::string_view reason);
 
   // scheduler_placement.cc
   void PlaceWaitingSteps();
+  static Urgency UrgencyOfLongRunning(const StepState& step);
   void PlaceStep(const StepRef& ref);
   bool PlaceGang(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
+  /// Gives all members the checkpoint of the most advanced one, as all members of a run must carry the same.
+  static void ShareCheckpoint(StepState& step);
   void PlaceTasks(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
   std::vector<UpstreamState*> FindCandidates(const StepRef& ref);
   bool CanRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const;
-  static Urgency UrgencyOfLongRunning(const StepState& step);
   std::int64_t CountSlots(const StepRef& ref, const UpstreamState& upstream, const Resources& free_capacity) const;
   void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
   void RequestTickets(const StepRef& ref, const QueueConfig& queue);
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -191,6 +191,7 @@
   std::stable_sort(slots.begin(), slots.end(), [](const auto& a, const auto& b) {
     return a.second->FreeCapacity().cpu_millis < b.second->FreeCapacity().cpu_millis;
   });
+  ShareCheckpoint(ref.job->occurrences[ref.occurrence].steps[ref.step]);
   std::size_t index = 0;
   for (const auto& [count, upstream] : slots) {
     for (std::int64_t i = 0; i < count && index < static_cast<std::size_t>(spec.task_count); ++i, ++index) {
@@ -200,6 +201,18 @@
   return true;
 }
 
+void Scheduler::ShareCheckpoint(StepState& step) {
+  const auto rank = [](const TaskState& task) { return std::pair{!task.checkpoint.empty(), task.checkpoint_percent}; };
+  const auto best = std::max_element(step.tasks.begin(), step.tasks.end(),
+                                     [&rank](const TaskState& a, const TaskState& b) { return rank(a) < rank(b); });
+  const std::string checkpoint = best->checkpoint;
+  const std::int32_t percent = best->checkpoint_percent;
+  for (TaskState& task : step.tasks) {
+    task.checkpoint = checkpoint;
+    task.checkpoint_percent = percent;
+  }
+}
+
 void Scheduler::PlaceTasks(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -29,6 +29,8 @@
 /// An upstream where runs of several jobs fail, or a run stalls, gets no tasks for this time.
 constexpr Duration kQuarantine{4'000'000};
 constexpr int kQuarantineAfterFailures = 2;
+/// Progress of a gang member that waits for the others to finish.
+constexpr std::int32_t kFinishedPercent = 100;
 
 }  // namespace
 
@@ -197,11 +199,11 @@
     SendStop(upstream, row.task, row.run);
     return;
   }
-  if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
   if (task->percent != row.percent) {
     task->percent = row.percent;
     task->progressed_at = m_now;
   }
+  KeepCheckpoint(*task, row.checkpoint);
   if (task->phase == TaskPhase::kStopping) return;
   if (IsFinal(job->state)) {
     task->phase = TaskPhase::kRunning;
@@ -235,8 +237,8 @@
     }
   }
   upstream.ends[row.number] = false;
+  KeepCheckpoint(*task, row.checkpoint);
   if (is_current) ReleaseCapacity(*job, row.task, *task);
-  if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
   job->has_started = true;
   if (row.kind == EndKind::kDone) {
     upstream.consecutive_failures = 0;
@@ -278,8 +280,7 @@
     ++upstream.consecutive_failures;
   }
   if (upstream.consecutive_failures >= kQuarantineAfterFailures && upstream.quarantined_until <= m_now) {
-    m_ports.events.Emit("upstream.quarantined", {{"upstream", upstream.listing.id.value()}, {"reason", "failures"}});
-    upstream.quarantined_until = m_now + kQuarantine;
+    Quarantine(upstream, "failures");
   }
   if (IsFinal(job.state)) return;
   const StepSpec& spec = job.spec.steps[key.step];
@@ -344,22 +345,49 @@
 void Scheduler::StopStalledRuns(UpstreamState& upstream) {
   for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) {
     TaskState* task = FindTask(key);
-    if (task == nullptr || task->phase != TaskPhase::kRunning || m_now - task->progressed_at < kStallTimeout) continue;
+    if (task == nullptr || !IsStalled(*task)) continue;
     Job& job = *FindJob(key.job);
-    if (job.spec.steps[key.step].is_long_running) continue;
-    StepState& step = StepOf(job, key);
-    if (job.spec.steps[key.step].is_gang) {
-      const bool is_complete = std::all_of(step.tasks.begin(), step.tasks.end(),
-                                           [](const TaskState& member) { return member.phase == TaskPhase::kRunning; });
-      if (!is_complete) continue;
-      // It is unknown which member is stalled.
-      AbortGang(job, key, "gang makes no progress");
+    const StepSpec& spec = job.spec.steps[key.step];
+    if (spec.is_long_running) continue;
+    if (spec.is_gang) {
+      if (!HoldsUpGang(StepOf(job, key), *task)) continue;
+      Quarantine(upstream, "no progress of a gang member");
+      AbortGang(job, key, "a member makes no progress");
       continue;
     }
-    upstream.quarantined_until = m_now + kQuarantine;
-    m_ports.events.Emit("upstream.quarantined", {{"upstream", upstream.listing.id.value()}, {"reason", "no progress"}});
+    Quarantine(upstream, "no progress");
     StopTask(job, key, *task, "no progress");
   }
 }
 
+bool Scheduler::IsStalled(const TaskState& task) const {
+  return task.phase == TaskPhase::kRunning && m_now - task.progressed_at >= kStallTimeout;
+}
+
+bool Scheduler::HoldsUpGang(const StepState& step, const TaskState& member) const {
+  const auto is_running = [](const TaskState& other) { return other.phase == TaskPhase::kRunning; };
+  if (!std::all_of(step.tasks.begin(), step.tasks.end(), is_running)) return false;
+  // Members make no progress until the last one has started.
+  const bool is_assembled = std::all_of(step.tasks.begin(), step.tasks.end(), [this](const TaskState& other) {
+    return m_now - other.confirmed_at >= kStallTimeout;
+  });
+  if (!is_assembled) return false;
+  const auto is_stalled = [this](const TaskState& other) { return IsStalled(other); };
+  if (std::all_of(step.tasks.begin(), step.tasks.end(), is_stalled)) {
+    // Nothing tells the cause from its effects but the distance to the end.
+    return std::none_of(step.tasks.begin(), step.tasks.end(),
+                        [&member](const TaskState& other) { return other.percent < member.percent; });
+  }
+  // Fast members wait at 100 percent for the others.
+  return member.percent < kFinishedPercent;
+}
+
+void Scheduler::Quarantine(UpstreamState& upstream, std::string_view reason) {
+  if (upstream.quarantined_until <= m_now) {
+    m_ports.events.Emit("upstream.quarantined",
+                        {{"upstream", upstream.listing.id.value()}, {"reason", std::string(reason)}});
+  }
+  upstream.quarantined_until = m_now + kQuarantine;
+}
+
 }  // namespace jaymast
--- a/src/cell_testing/fake_upstream.h
+++ b/src/cell_testing/fake_upstream.h
@@ -22,6 +22,8 @@
   std::map<TaskKey, int> starts;
   std::map<TaskKey, int> done;
   std::set<TaskKey> acknowledged_done;
+  std::map<std::pair<TaskKey, std::int32_t>, std::set<std::size_t>> gang_members_at_100;  ///< by first member and run
+  std::map<std::pair<TaskKey, std::int32_t>, std::set<std::string>> gang_checkpoints;     ///< carried by the starts
   std::map<TaskKey, std::set<std::int32_t>> runs;
   std::vector<std::string> violations;
 };
@@ -64,8 +66,10 @@
     ++m_history.running[order.task];
     ++m_history.starts[order.task];
     m_history.runs[order.task].insert(order.run);
-    m_running[order.task] = {order.run, work, m_queue.now() + work.run_time};
-    m_queue.After(work.run_time + Duration(1), [this] { Advance(); });
+    if (work.gang_size > 0) m_history.gang_checkpoints[GangRun(order.task, order.run)].insert(order.checkpoint);
+    const Duration run_time = work.run_time * slowdown;
+    m_running[order.task] = {order.run, work, m_queue.now(), run_time};
+    m_queue.After(run_time + Duration(1), [this] { Advance(); });
     return reply;
   }
 
@@ -101,6 +105,11 @@
     m_queue.After(std::chrono::milliseconds(order.wait_ms), [this, number] { ReplyToWaiting(number); });
   }
 
+  bool Runs(const TaskKey& task) const { return m_running.contains(task); }
+
+  /// Ends a run as failed.
+  void Fail(const TaskKey& task) { End(task, EndKind::kFailed); }
+
   /// Restarts the process without its state.
   void Restart() {
     for (const auto& [key, run] : m_running) --m_history.running[key];
@@ -125,20 +134,51 @@
     }
     const auto running = m_running;
     for (const auto& [key, run] : running) {
-      if (run.work.hangs || m_queue.now() < run.ends_at || !m_running.contains(key)) continue;
+      if (Percent(run) < 100 || !m_running.contains(key)) continue;
+      if (run.work.gang_size > 0) {
+        std::set<std::size_t>& finished = m_history.gang_members_at_100[GangRun(key, run.run)];
+        finished.insert(key.index);
+        if (finished.size() < run.work.gang_size) {
+          m_queue.After(kGangPollInterval, [this] { Advance(); });
+          continue;
+        }
+      }
       End(key, run.work.fails ? EndKind::kFailed : EndKind::kDone);
     }
   }
 
   bool is_reachable = true;
+  bool stands_still = false;  ///< runs stay at 10 percent
+  int slowdown = 1;           ///< runs that start now take this many times as long
 
  private:
+  static constexpr Duration kGangPollInterval{50'000};
+  static constexpr std::int32_t kStandStillPercent = 10;
+
   struct Run {
     std::int32_t run = 0;
     FakeWork work;
-    Time ends_at{};
+    Time started_at{};
+    Duration run_time{};
   };
 
+  static std::pair<TaskKey, std::int32_t> GangRun(const TaskKey& member, std::int32_t run) {
+    return {TaskKey{member.job, member.occurrence, member.step, 0}, run};
+  }
+
+  std::int32_t Percent(const Run& run) const {
+    if (stands_still || run.work.hangs) return kStandStillPercent;
+    const Duration elapsed = std::min(m_queue.now() - run.started_at, run.run_time);
+    return static_cast<std::int32_t>(100 * elapsed.count() / std::max<std::int64_t>(1, run.run_time.count()));
+  }
+
+  /// Checkpoint of a run: its upstream and progress, empty before the first tenth.
+  std::string Checkpoint(const TaskKey& key, const Run& run) const {
+    const std::int32_t tenths = Percent(run) / 10;
+    if (run.work.gang_size == 0 || tenths == 0) return {};
+    return std::to_string(key.index) + "@" + std::to_string(tenths);
+  }
+
   std::int64_t ClockMs() const { return 1 + ToMillis(m_queue.now() - m_started_at); }
 
   void ExtendLease(std::int64_t until_ms) {
@@ -152,7 +192,7 @@
     m_highest_run[key] = std::max(m_highest_run[key], run.run);
     --m_history.running[key];
     if (kind == EndKind::kDone) ++m_history.done[key];
-    m_ends.push_back({++m_last_end, key, run.run, kind, ""});
+    m_ends.push_back({++m_last_end, key, run.run, kind, Checkpoint(key, run)});
     const auto waiting = m_waiting_syncs;
     for (const auto& [number, done] : waiting) ReplyToWaiting(number);
   }
@@ -172,10 +212,7 @@
     reply.incarnation = m_listing.incarnation;
     reply.ended = m_ends;
     for (const auto& [key, run] : m_running) {
-      const auto left = std::max(Duration::zero(), run.ends_at - m_queue.now());
-      const auto percent =
-          run.work.hangs ? 10 : 100 - 100 * left.count() / std::max<std::int64_t>(1, run.work.run_time.count());
-      reply.running.push_back({key, run.run, "", static_cast<std::int32_t>(percent), 0});
+      reply.running.push_back({key, run.run, Checkpoint(key, run), Percent(run), 0});
     }
     return reply;
   }
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -41,6 +41,7 @@
       step.demand = Resources{number("cpu", 1000), 100, 0, 0};
       step.estimate_ms = number("ms", 500);
       step.is_gang = request.body.find("gang") != std::string::npos;
+      step.is_long_running = request.body.find("lasts") != std::string::npos;
       step.same_rack = request.body.find("rack") != std::string::npos;
       spec.steps.push_back(step);
       for (std::int64_t i = 1; i < number("steps", 1); ++i) {
@@ -94,6 +95,7 @@
   static constexpr int kRackSize = 3;
   static constexpr Duration kPeerLatency{1'000};
   static constexpr Duration kOrderTimeout{250'000};
+  static constexpr Duration kLastingRunTime{3'600'000'000};
 
   struct Instance {
     std::string address;
@@ -275,7 +277,12 @@
       };
       work.run_time = std::chrono::milliseconds(number("ms", 500));
       work.demand = Resources{number("cpu", 1000), 100, 0, 0};
+      if (order.payload.find("gang") != std::string::npos) {
+        work.gang_size = static_cast<std::size_t>(number("tasks", 1));
+      }
       work.fails = order.payload.find("fails") != std::string::npos;
+      // A task that lasts works until it is stopped or fails.
+      if (order.payload.find("lasts") != std::string::npos && !work.fails) work.run_time = kLastingRunTime;
       work.hangs = order.payload.find("hangs") != std::string::npos;
       return work;
     }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -57,9 +57,17 @@
   Time stop_retry_at = Time::max();  ///< when the stop is sent again
   Time progressed_at{};              ///< when the reported progress last changed
   std::int32_t percent = -1;
-  UpstreamId failed_on;  ///< where the last run failed; avoided for the next one
+  std::int32_t checkpoint_percent = -1;  ///< progress at which the checkpoint was reported, -1 if unknown
+  UpstreamId failed_on;                  ///< where the last run failed; avoided for the next one
 };
 
+/// Keeps a reported checkpoint, unless it is empty.
+inline void KeepCheckpoint(TaskState& task, const std::string& checkpoint) {
+  if (checkpoint.empty() || checkpoint == task.checkpoint) return;
+  task.checkpoint = checkpoint;
+  task.checkpoint_percent = task.percent;
+}
+
 /// Permits tasks of one step to start on one upstream. Issued by the policy service.
 struct Ticket {
   std::string text;
