Bound the work of a placement pass over a backlog of steps

Cause: while the policy service had free callers, RequestTickets examined and sorted all upstreams for each waiting step in every pass, also when all upstreams were full. Change: usable upstreams are listed once a pass by free CPU; a step takes the first ones that suffice, and is examined again after 50 ms if there was none. jaymast_placement_checks counts the examined pairs.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -88,6 +88,8 @@
   std::size_t record_rows() const { return m_log.rows(); }
   std::size_t upstreams() const { return m_upstreams.size(); }
   std::size_t CountUsableUpstreams() const;
+  /// Pairs of a waiting step and an upstream that placement has examined, which its processor time grows with.
+  std::uint64_t placement_checks() const { return m_placement_checks; }
   std::size_t CountUnacknowledgedEnds() const;
 
  private:
@@ -189,6 +191,7 @@
 
   // scheduler_placement.cc
   void PlaceWaitingSteps();
+  void ListUsableUpstreams();
   static Urgency UrgencyOfLongRunning(const StepState& step);
   void PlaceStep(const StepRef& ref);
   bool PlaceGang(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
@@ -200,6 +203,8 @@
   std::int64_t CountSlots(const StepRef& ref, const UpstreamState& upstream, const Resources& free_capacity) const;
   void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
   void RequestTickets(const StepRef& ref, const QueueConfig& queue);
+  /// Upstreams for which a step should request tickets: with free capacity first, none if its tickets are sufficient.
+  std::vector<UpstreamId> ChooseUpstreamsToRequest(const StepRef& ref, const QueueConfig& queue);
   /// @param step_key key of the first task of the step
   void OnPolicyReply(const TaskKey& step_key, const std::vector<UpstreamId>& requested,
                      const PolicyReply& policy_reply);
@@ -229,6 +234,9 @@
   PolicyCallDispatcher m_policy_calls;
   AdmissionController m_admission;
   std::map<QueueId, double> m_allowed_share;  ///< running mean of the share of upstreams that the policy allows
+  /// Usable upstreams with their free CPU at the start of the placement pass, in descending order.
+  std::vector<std::pair<std::int64_t, UpstreamState*>> m_by_free_cpu;
+  mutable std::uint64_t m_placement_checks = 0;
   std::set<UpstreamId> m_reserved_upstreams;  ///< for waiting gangs, within one placement pass
   std::uint64_t m_token_counter = 0;
   bool m_is_retired = false;
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -27,6 +27,8 @@
 constexpr std::size_t kMaxRequestedUpstreams = 100;  ///< limit of the policy service
 /// Delay after a reply before the next request for the same step.
 constexpr Duration kPolicyRequestInterval{120'000};
+/// Delay before the upstreams are examined again for a step that had none to request tickets for.
+constexpr Duration kPolicyScanInterval{50'000};
 /// Gangs for which capacity is reserved in one pass.
 constexpr int kMaxReservingGangs = 2;
 /// Capacity is reserved for a gang after it has waited this long.
@@ -80,6 +82,8 @@
       }
     }
   }
+  if (refs.empty()) return;
+  ListUsableUpstreams();
   std::sort(refs.begin(), refs.end(), [](const StepRef& a, const StepRef& b) {
     return std::tie(a.urgency, a.priority, a.objective, a.job->id, a.occurrence, a.step) <
            std::tie(b.urgency, b.priority, b.objective, b.job->id, b.occurrence, b.step);
@@ -87,6 +91,15 @@
   for (const StepRef& ref : refs) PlaceStep(ref);
 }
 
+void Scheduler::ListUsableUpstreams() {
+  m_by_free_cpu.clear();
+  for (auto& [id, upstream] : m_upstreams) {
+    if (IsUsable(upstream)) m_by_free_cpu.emplace_back(upstream.FreeCapacity().cpu_millis, &upstream);
+  }
+  std::stable_sort(m_by_free_cpu.begin(), m_by_free_cpu.end(),
+                   [](const auto& a, const auto& b) { return a.first > b.first; });
+}
+
 Scheduler::Urgency Scheduler::UrgencyOfLongRunning(const StepState& step) {
   const bool has_run =
       std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskState& task) { return task.run > 0; });
@@ -94,6 +107,7 @@
 }
 
 bool Scheduler::CanRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const {
+  ++m_placement_checks;
   if (upstream.listing.service != queue.service || !IsUsable(upstream)) return false;
   return spec.required_label.empty() || upstream.HasLabel(spec.required_label);
 }
@@ -137,8 +151,8 @@
   StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
   std::vector<UpstreamState*> candidates;
   if (!queue.policy) {
-    for (auto& [id, upstream] : m_upstreams) {
-      if (CanRunOn(spec, queue, upstream)) candidates.push_back(&upstream);
+    for (const auto& [free_cpu, upstream] : m_by_free_cpu) {
+      if (CanRunOn(spec, queue, *upstream)) candidates.push_back(upstream);
     }
     return candidates;
   }
@@ -260,51 +274,65 @@
   }
 }
 
+std::vector<UpstreamId> Scheduler::ChooseUpstreamsToRequest(const StepRef& ref, const QueueConfig& queue) {
+  const StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  const double factor = spec.is_gang ? kRequestedCapacityFactorGang : kRequestedCapacityFactor;
+  double needed = static_cast<double>(step.waiting) * factor;
+  for (const auto& [id, ticket] : step.tickets) {
+    const UpstreamState* upstream = FindUpstream(id);
+    if (upstream == nullptr || !CanRunOn(spec, queue, *upstream)) continue;
+    needed -= static_cast<double>(CountSlots(ref, *upstream, upstream->FreeCapacity()));
+  }
+  if (needed <= 0) return {};
+  const double share = m_allowed_share.try_emplace(queue.id, kInitialAllowedShare).first->second;
+  std::vector<UpstreamId> chosen;
+  double expected_slots = 0;
+  const auto is_enough = [&chosen, &expected_slots, needed] {
+    return chosen.size() >= kMaxRequestedUpstreams ||
+           (expected_slots >= needed && chosen.size() >= kMinRequestedUpstreams);
+  };
+  const auto choose = [&](const UpstreamState& upstream, std::int64_t slots) {
+    const bool is_allowed = step.policy_decisions.contains(upstream.listing.id);
+    expected_slots += (is_allowed ? 1.0 : share) * static_cast<double>(slots);
+    chosen.push_back(upstream.listing.id);
+  };
+  const auto may_request = [&](const UpstreamState& upstream) {
+    if (!CanRunOn(spec, queue, upstream) || step.tickets.contains(upstream.listing.id)) return false;
+    const auto decision = step.policy_decisions.find(upstream.listing.id);
+    return decision == step.policy_decisions.end() || decision->second;
+  };
+  for (const auto& [free_cpu, upstream] : m_by_free_cpu) {
+    if (is_enough()) return chosen;
+    // All later ones had less free CPU.
+    if (!spec.uses_spare_cpu && free_cpu < spec.demand.cpu_millis) break;
+    const std::int64_t free_slots = CountSlots(ref, *upstream, upstream->FreeCapacity());
+    if (free_slots > 0 && may_request(*upstream)) choose(*upstream, free_slots);
+  }
+  // With valid tickets a request for full upstreams would not help: capacity becomes free on those with a ticket first.
+  if (chosen.empty() && !step.tickets.empty()) return {};
+  for (const auto& [free_cpu, upstream] : m_by_free_cpu) {
+    if (is_enough()) return chosen;
+    if (CountSlots(ref, *upstream, upstream->FreeCapacity()) > 0) continue;
+    const std::int64_t slots = CountSlots(ref, *upstream, upstream->listing.capacity);
+    if (slots > 0 && may_request(*upstream)) choose(*upstream, slots);
+  }
+  return chosen;
+}
+
 void Scheduler::RequestTickets(const StepRef& ref, const QueueConfig& queue) {
   StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
-  const StepSpec& spec = ref.job->spec.steps[ref.step];
   if (step.open_policy_calls > 0 || m_now < step.next_policy_call_at) return;
   const PolicyConfig& policy_config = *queue.policy;
   if (!m_policy_calls.CanCall(static_cast<std::int64_t>(policy_config.call_ms), m_now)) return;
-  const double share = m_allowed_share.try_emplace(queue.id, kInitialAllowedShare).first->second;
-  double ticketed_slots = 0;
-  std::vector<std::tuple<bool, std::int64_t, double, UpstreamState*>>
-      unticketed;  // is full, negated free CPU, expected slots
-  for (auto& [id, upstream] : m_upstreams) {
-    if (!CanRunOn(spec, queue, upstream)) continue;
-    const auto decision = step.policy_decisions.find(id);
-    if (decision != step.policy_decisions.end() && !decision->second) continue;
-    const std::int64_t free_slots = CountSlots(ref, upstream, upstream.FreeCapacity());
-    if (step.tickets.contains(id)) {
-      ticketed_slots += static_cast<double>(free_slots);
-      continue;
-    }
-    const double probability = decision != step.policy_decisions.end() ? 1.0 : share;
-    const std::int64_t slots = free_slots > 0 ? free_slots : CountSlots(ref, upstream, upstream.listing.capacity);
-    if (slots == 0) continue;
-    unticketed.emplace_back(free_slots == 0, -upstream.FreeCapacity().cpu_millis,
-                            probability * static_cast<double>(slots), &upstream);
-  }
-  if (unticketed.empty()) return;
-  std::sort(unticketed.begin(), unticketed.end(), [](const auto& a, const auto& b) {
-    return std::tie(std::get<0>(a), std::get<1>(a)) < std::tie(std::get<0>(b), std::get<1>(b));
-  });
-  const double factor = spec.is_gang ? kRequestedCapacityFactorGang : kRequestedCapacityFactor;
-  const double needed = static_cast<double>(step.waiting) * factor - ticketed_slots;
-  // No call if the valid tickets are sufficient, or if all upstreams without a ticket are full: capacity becomes free
-  // on an upstream with a ticket before new tickets would help.
-  if (needed <= 0) return;
-  if (std::get<0>(unticketed.front()) && !step.tickets.empty()) return;
   PolicyRequest request;
   request.job = ref.job->id;
   request.occurrence = ref.occurrence;
   request.step = ref.step;
-  double expected_slots = 0;
-  for (const auto& [is_full, free, slots, upstream] : unticketed) {
-    if (request.upstreams.size() >= kMaxRequestedUpstreams) break;
-    if (expected_slots >= needed && request.upstreams.size() >= kMinRequestedUpstreams) break;
-    expected_slots += slots;
-    request.upstreams.push_back(upstream->listing.id);
+  request.upstreams = ChooseUpstreamsToRequest(ref, queue);
+  if (request.upstreams.empty()) {
+    step.next_policy_call_at = m_now + kPolicyScanInterval;
+    return;
   }
   request.expected_ms = static_cast<std::int64_t>(
       std::ceil(policy_config.call_ms + policy_config.per_upstream_ms * static_cast<double>(request.upstreams.size())));
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -346,6 +346,7 @@
   gauges["jaymast_record_rows"] = static_cast<double>(scheduler.record_rows());
   gauges["jaymast_upstreams"] = static_cast<double>(scheduler.upstreams());
   gauges["jaymast_usable_upstreams"] = static_cast<double>(scheduler.CountUsableUpstreams());
+  gauges["jaymast_placement_checks"] = static_cast<double>(scheduler.placement_checks());
   gauges["jaymast_unacknowledged_ends"] = static_cast<double>(scheduler.CountUnacknowledgedEnds());
   gauges["jaymast_followers"] = static_cast<double>(m_followers.size());
   return gauges;
