Bound the syncs of upstreams without work and of a takeover

Cause: the leader kept a sync open to every upstream, one request a second each, and after a takeover opened a connection to all of them at once. With 3000 upstreams the replies were handled after their timeouts of 250 ms, the connections were closed and opened again (689 new ones a second, 8630 open, more than the descriptors of a machine), and all upstreams stayed unusable for 22 s. Change: at most 256 syncs that do not wait are open at a time, and upstreams with recorded tasks are adopted first. Beyond 600 upstreams those without runs are synced 600 times a second in all, at least every 5 s each; a start resumes the usual sync at once. Smaller cells behave as before. Result: CellOverloadTest.ManyUpstreamsAreSyncedWithBoundedEffort fails before (2000 open syncs, 2000 a second) and passes after.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -96,7 +96,7 @@
 void Scheduler::OnTick(Time now) {
   m_now = now;
   SendPostponedStarts();
-  for (auto& [id, upstream] : m_upstreams) SyncIfDue(upstream);
+  SyncDueUpstreams();
   std::erase_if(m_unopened, [this](const auto& entry) { return OpenDueOccurrences(*entry.second); });
   if (m_needs_placement || now >= m_next_placement) PlaceWaitingSteps();
 }
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -172,7 +172,10 @@
   UpstreamState& GetOrAddUpstream(const UpstreamId& id);
   bool IsUsable(const UpstreamState& upstream) const;
   void ResendDueStops(UpstreamState& upstream);
+  void SyncDueUpstreams();
   void SyncIfDue(UpstreamState& upstream);
+  /// Time between a reply of an upstream without runs and its next sync.
+  Duration IdleSyncPause() const;
   void OnSyncReply(const UpstreamId& id, std::uint64_t number, const SyncReply& reply);
   void OnActiveRun(UpstreamState& upstream, const ActiveRun& row);
   void OnEndedRun(UpstreamState& upstream, const EndedRun& row);
@@ -239,6 +242,7 @@
   mutable std::uint64_t m_placement_checks = 0;
   std::set<UpstreamId> m_reserved_upstreams;  ///< for waiting gangs, within one placement pass
   std::uint64_t m_token_counter = 0;
+  std::size_t m_open_immediate_syncs = 0;
   bool m_is_retired = false;
   bool m_needs_placement = true;
   std::vector<std::pair<TaskKey, std::int32_t>> m_postponed_starts;  ///< until the leadership is confirmed
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -70,6 +70,7 @@
     return Fence(upstream, task->token);
   }
   const std::int64_t until = GrantLease(upstream);
+  if (upstream.sync_pause > Duration::zero()) upstream.next_sync = std::min(upstream.next_sync, m_now);
   task->phase = TaskPhase::kStarting;
   task->token = upstream.token;
   ++task->send_attempts;
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -22,6 +22,11 @@
 /// Delay after a failed sync; grows with each failure up to the maximum.
 constexpr Duration kFailedSyncDelay{100'000};
 constexpr Duration kMaxFailedSyncDelay{500'000};
+/// Syncs of upstreams without runs, in all. Beyond this number of upstreams each of them is synced less often.
+constexpr std::int64_t kIdleSyncsPerSecond = 600;
+constexpr Duration kMaxIdleSyncPause{5'000'000};
+/// Open syncs that need no wait. More of them, after a takeover, would not be handled before their timeout.
+constexpr std::size_t kMaxOpenImmediateSyncs = 256;
 /// An upstream gets no tasks after this time without a reply; above the wait of a sync.
 constexpr Duration kUnreachableAfter{1'600'000};
 /// A run whose reported progress does not change for this time counts as stalled.
@@ -76,7 +81,8 @@
 bool Scheduler::IsUsable(const UpstreamState& upstream) const {
   return upstream.is_listed && upstream.is_adopted && !upstream.listing.is_draining &&
          upstream.listing.incarnation == upstream.incarnation && upstream.failed_syncs < kUnreachableAfterFailedSyncs &&
-         upstream.quarantined_until <= m_now && m_now - upstream.last_reply_at < kUnreachableAfter &&
+         upstream.quarantined_until <= m_now &&
+         m_now - upstream.last_reply_at < kUnreachableAfter + upstream.sync_pause &&
          !m_domains_out_of_service.contains(upstream.listing.domain);
 }
 
@@ -104,6 +110,22 @@
   }
 }
 
+Duration Scheduler::IdleSyncPause() const {
+  const auto upstreams = static_cast<std::int64_t>(m_upstreams.size());
+  if (upstreams <= kIdleSyncsPerSecond) return Duration::zero();
+  return std::min(kMaxIdleSyncPause, Duration(std::chrono::seconds(upstreams)) / kIdleSyncsPerSecond);
+}
+
+void Scheduler::SyncDueUpstreams() {
+  // After a takeover the upstreams with recorded tasks are adopted first.
+  if (m_open_immediate_syncs < kMaxOpenImmediateSyncs) {
+    for (auto& [id, upstream] : m_upstreams) {
+      if (!upstream.tasks.empty()) SyncIfDue(upstream);
+    }
+  }
+  for (auto& [id, upstream] : m_upstreams) SyncIfDue(upstream);
+}
+
 void Scheduler::SyncIfDue(UpstreamState& upstream) {
   if (!upstream.tasks.empty() && m_now >= upstream.leases_expire_at) MarkAllTasksLost(upstream, "lease lapsed");
   if (m_now >= upstream.next_stop) ResendDueStops(upstream);
@@ -116,19 +138,25 @@
   // After a gap the upstream may be a new incarnation, whose ends have the same numbers and are not known yet.
   const bool is_same_incarnation = upstream.failed_syncs == 0 && m_now - upstream.last_reply_at < kSameIncarnationBound;
   order.acknowledged_end = is_same_incarnation ? upstream.acknowledged_end : 0;
-  // An upstream that does not reply gets no further lease, so that its tasks end at a known time.
-  const bool extends_lease = upstream.is_adopted && upstream.clock_ms > 0 && upstream.failed_syncs == 0;
-  order.lease_until_ms = extends_lease ? GrantLease(upstream) : 0;
   const bool acknowledges_later = order.acknowledged_end != upstream.acknowledged_end;
   const bool needs_immediate_reply = acknowledges_later || !upstream.is_adopted || upstream.failed_syncs > 0 ||
                                      has_uncommitted_ends || upstream.sync_token != upstream.token;
+  const bool is_idle = upstream.tasks.empty() && IdleSyncPause() > Duration::zero();
   const bool is_lossy = m_now - m_order_timed_out_at < kLossyPeriod;
-  order.wait_ms = needs_immediate_reply ? 0 : (is_lossy ? kSyncWaitLossyMs : kSyncWaitMs);
+  order.wait_ms = needs_immediate_reply || is_idle ? 0 : (is_lossy ? kSyncWaitLossyMs : kSyncWaitMs);
+  const bool is_immediate = order.wait_ms == 0;
+  if (is_immediate && m_open_immediate_syncs >= kMaxOpenImmediateSyncs) return;
+  if (is_immediate) ++m_open_immediate_syncs;
+  // An upstream that does not reply gets no further lease, so that its tasks end at a known time.
+  const bool extends_lease = upstream.is_adopted && upstream.clock_ms > 0 && upstream.failed_syncs == 0;
+  order.lease_until_ms = extends_lease ? GrantLease(upstream) : 0;
   upstream.is_syncing = true;
   upstream.sync_sent_at = m_now;
   upstream.sync_token = upstream.token;
-  m_ports.upstreams.Sync(
-      order, [this, id, number = ++upstream.sync_number](const SyncReply& reply) { OnSyncReply(id, number, reply); });
+  m_ports.upstreams.Sync(order, [this, id, is_immediate, number = ++upstream.sync_number](const SyncReply& reply) {
+    if (is_immediate) --m_open_immediate_syncs;
+    OnSyncReply(id, number, reply);
+  });
 }
 
 void Scheduler::OnSyncReply(const UpstreamId& id, std::uint64_t number, const SyncReply& reply) {
@@ -185,7 +213,8 @@
   if (!reply.has_more_ends) MarkUnreportedTasksLost(upstream, reported);
   StopStalledRuns(upstream);
   AcknowledgeEnds(upstream);
-  upstream.next_sync = upstream.ends.empty() ? m_now : m_now + kUncommittedEndsSyncInterval;
+  upstream.sync_pause = upstream.tasks.empty() ? IdleSyncPause() : Duration::zero();
+  upstream.next_sync = m_now + (upstream.ends.empty() ? upstream.sync_pause : kUncommittedEndsSyncInterval);
   if (!was_adopted) m_needs_placement = true;
 }
 
--- a/src/cell/upstream_state.h
+++ b/src/cell/upstream_state.h
@@ -40,6 +40,7 @@
   Time sync_sent_at{};
   std::uint64_t sync_token = 0;  ///< fencing token of the last sync
   Time next_sync{};
+  Duration sync_pause{};  ///< between the last reply and the next sync
   Time last_reply_at{};
   int failed_syncs = 0;
 
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -212,6 +212,9 @@
   std::function<Duration(const StartOrder&)> start_delay;    ///< the order arrives late and gets no reply
   std::function<OrderStatus(const StartOrder&)> start_status;
   int policy_calls = 0;
+  int syncs = 0;
+  int max_open_immediate_syncs = 0;          ///< of one instance at a time, without those that wait for an end
+  std::map<std::string, int> peer_messages;  ///< by the address of the sender
 
  private:
   class FakeUpstreamClient : public UpstreamClient {
@@ -253,9 +256,14 @@
     void Sync(const SyncOrder& order, std::function<void(SyncReply)> done) override {
       FakeUpstream* upstream = FindReachable(order.target);
       const Duration limit = kOrderTimeout + std::chrono::milliseconds(order.wait_ms);
+      ++m_cluster.syncs;
+      if (order.wait_ms == 0) {
+        m_cluster.max_open_immediate_syncs = std::max(m_cluster.max_open_immediate_syncs, ++m_open_immediate_syncs);
+      }
       auto is_done = std::make_shared<bool>(false);
-      const auto once = [done, is_done](const SyncReply& reply) {
+      const auto once = [this, done, is_done, is_immediate = order.wait_ms == 0](const SyncReply& reply) {
         if (std::exchange(*is_done, true)) return;
+        if (is_immediate) --m_open_immediate_syncs;
         done(reply);
       };
       RunLater(limit, [once] { once({}); });
@@ -301,6 +309,7 @@
 
     SimulatedCluster& m_cluster;
     Instance& m_instance;
+    int m_open_immediate_syncs = 0;
   };
 
   class FakePolicyClient : public PolicyClient {
@@ -387,6 +396,7 @@
 
   void SendPeer(Instance& from, const std::string& address, HttpRequest request, Time deadline,
                 const std::function<void(PeerResult)>& done) {
+    ++peer_messages[from.address];
     auto is_done = std::make_shared<bool>(false);
     const auto once = [done, is_done](const PeerResult& result) {
       if (std::exchange(*is_done, true)) return;
--- a/src/instance/cell_overload_test.cc
+++ b/src/instance/cell_overload_test.cc
@@ -33,5 +33,34 @@
   ExpectNoViolation(cluster);
 }
 
+// Load pattern: 2000 upstreams, of which a few have work, and a takeover that has to sync with all of them.
+// Guards against syncs that open a connection to every upstream at once and are not handled before their timeouts, and
+// against a sync rate that grows with the number of upstreams.
+TEST(CellOverloadTest, ManyUpstreamsAreSyncedWithBoundedEffort) {
+  constexpr int kUpstreams = 2000;
+  constexpr int kMaxOpenSyncs = 256;
+  constexpr int kMaxSyncsPerSecond = 1000;
+  SimulatedCluster cluster(3, kUpstreams, 16000);
+  cluster.Run(seconds(3));
+  for (int i = 0; i < 20; ++i) cluster.Call(0, "POST", "job" + std::to_string(i), "tasks=4 cpu=4000 ms=4000");
+  cluster.Run(seconds(1));
+  EXPECT_LE(cluster.max_open_immediate_syncs, kMaxOpenSyncs);
+  cluster.syncs = 0;
+  cluster.Run(seconds(2));
+  EXPECT_LT(cluster.syncs, 2 * kMaxSyncsPerSecond);
+  EXPECT_EQ(cluster.At(cluster.Leader()).cell->term()->scheduler().CountUsableUpstreams(), kUpstreams);
+  cluster.Kill(cluster.Leader());
+  cluster.Run(seconds(2));
+  ASSERT_GE(cluster.Leader(), 0);
+  EXPECT_EQ(cluster.At(cluster.Leader()).cell->term()->scheduler().CountUsableUpstreams(), kUpstreams);
+  cluster.Run(seconds(4));
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(GetJobState(cluster, cluster.Leader(), "job" + std::to_string(i)), "completed");
+  }
+  for (const auto& [task, starts] : cluster.history.starts) EXPECT_EQ(starts, 1) << FormatTaskKey(task);
+  EXPECT_LE(cluster.max_open_immediate_syncs, kMaxOpenSyncs);
+  ExpectNoViolation(cluster);
+}
+
 }  // namespace
 }  // namespace jaymast
