Forward heartbeats by groups of followers

Cause: beyond 24 followers the interval of heartbeats grew, but a follower without contact for 300 ms announces itself again, so the leader of 300 instances received about 1000 join announcements a second. At 1.9 s between heartbeats its followers also left the rotation, as they need contact within 0.8 s. Ruled out: longer timeouts of the followers, as these bound how long calls go to a leader that is gone. Change: more than 24 followers are split into groups of the square root of their number; the first member that has answered forwards the heartbeat and reports who answered. Members that miss heartbeats announce themselves as before.

--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -1,6 +1,7 @@
 #include "instance/cell_instance.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "base/http_status.h"
@@ -10,8 +11,9 @@
 namespace {
 
 constexpr Duration kHeartbeatInterval{150'000};
-/// The interval grows with the number of followers, which bounds the leader's load to 160 heartbeats a second.
-constexpr Duration kHeartbeatIntervalPerFollower{6'250};
+/// Up to this number of followers the leader sends all heartbeats itself: 160 a second. More followers are split into
+/// groups whose first member forwards the heartbeats, so that the leader's load grows with the square root.
+constexpr std::size_t kMaxDirectHeartbeats = 24;
 constexpr Duration kHeartbeatTimeout{500'000};
 /// A longer gap counts as missing heartbeats, not as the interval between them.
 constexpr Duration kMaxHeartbeatGap{300'000};
@@ -145,7 +147,7 @@
   m_election.OnDeposed(m_now);
   m_relay.SetLeader(false, "", 0, m_now);
   if (!is_handed_over || m_successor.empty()) return;
-  m_ports.send_peer(m_successor, PeerMessage(kHeartbeatPath, EncodeHeartbeat({})), m_now + kHeartbeatTimeout,
+  m_ports.send_peer(m_successor, PeerMessage(kHeartbeatPath, EncodeHeartbeat(Heartbeat{})), m_now + kHeartbeatTimeout,
                     [](const PeerResult&) {});
 }
 
@@ -199,6 +201,10 @@
       m_ports.request_tick();
     } else if (heartbeat) {
       OnHeartbeat(*heartbeat);
+      if (!heartbeat->forward_to.empty()) {
+        ForwardHeartbeat(*heartbeat);
+        return done({kStatusOk, {}, EncodeHeartbeatReply(std::exchange(m_answered_forwarding, {}))});
+      }
     }
     return done({kStatusNoContent, {}, ""});
   }
@@ -234,22 +240,59 @@
 }
 
 void CellInstance::SendHeartbeats() {
-  m_next_heartbeat_at = m_now + std::max(kHeartbeatInterval,
-                                         kHeartbeatIntervalPerFollower * static_cast<std::int64_t>(m_followers.size()));
-  const std::string body = EncodeHeartbeat(BuildHeartbeat());
+  m_next_heartbeat_at = m_now + kHeartbeatInterval;
   const auto removed = std::erase_if(
       m_followers, [this](const auto& entry) { return m_now - entry.second.last_contact_at > kFollowerTimeout; });
   if (removed > 0) UpdatePolicyCallers();
-  for (auto& [address, follower] : m_followers) {
-    if (follower.is_heartbeat_pending) continue;
-    follower.is_heartbeat_pending = true;
-    m_ports.send_peer(address, PeerMessage(kHeartbeatPath, body), m_now + kHeartbeatTimeout,
-                      [this, address = address](const PeerResult& result) {
-                        const auto found = m_followers.find(address);
-                        if (found == m_followers.end()) return;
-                        found->second.is_heartbeat_pending = false;
-                        if (result.is_answered) found->second.last_contact_at = m_now;
-                      });
+  const std::size_t count = m_followers.size();
+  const std::size_t group_size =
+      count <= kMaxDirectHeartbeats ? 1 : static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(count))));
+  std::vector<std::string> group;
+  for (const auto& [address, follower] : m_followers) {
+    group.push_back(address);
+    if (group.size() < group_size) continue;
+    SendHeartbeatToGroup(group);
+    group.clear();
+  }
+  if (!group.empty()) SendHeartbeatToGroup(group);
+}
+
+void CellInstance::SendHeartbeatToGroup(const std::vector<std::string>& group) {
+  const auto head = std::find_if(group.begin(), group.end(), [this](const std::string& address) {
+    return !m_followers[address].is_heartbeat_pending;
+  });
+  if (head == group.end()) return;
+  Heartbeat heartbeat = BuildHeartbeat();
+  for (const std::string& address : group) {
+    if (address != *head) heartbeat.forward_to.push_back(address);
+  }
+  m_followers[*head].is_heartbeat_pending = true;
+  m_ports.send_peer(*head, PeerMessage(kHeartbeatPath, EncodeHeartbeat(heartbeat)), m_now + kHeartbeatTimeout,
+                    [this, address = *head](const PeerResult& result) {
+                      const auto found = m_followers.find(address);
+                      if (found == m_followers.end()) return;
+                      found->second.is_heartbeat_pending = false;
+                      if (!result.is_answered) return;
+                      OnFollowerContact(address);
+                      for (const std::string& answered : DecodeHeartbeatReply(result.response.body)) {
+                        OnFollowerContact(answered);
+                      }
+                    });
+}
+
+void CellInstance::OnFollowerContact(const std::string& address) {
+  const auto found = m_followers.find(address);
+  if (found != m_followers.end()) found->second.last_contact_at = m_now;
+}
+
+void CellInstance::ForwardHeartbeat(const Heartbeat& heartbeat) {
+  const HttpRequest message = PeerMessage(kHeartbeatPath, EncodeHeartbeat({heartbeat.record, heartbeat.version, {}}));
+  for (const std::string& address : heartbeat.forward_to) {
+    if (!m_forwarding_to.insert(address).second) continue;
+    m_ports.send_peer(address, message, m_now + kHeartbeatTimeout, [this, address](const PeerResult& result) {
+      m_forwarding_to.erase(address);
+      if (result.is_answered) m_answered_forwarding.insert(address);
+    });
   }
 }
 
@@ -267,7 +310,7 @@
 }
 
 Heartbeat CellInstance::BuildHeartbeat() const {
-  return {m_term->committer().committed_record(), m_term->committer().committed_version()};
+  return {m_term->committer().committed_record(), m_term->committer().committed_version(), {}};
 }
 
 void CellInstance::OnHeartbeat(const Heartbeat& heartbeat) {
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -98,6 +98,10 @@
   Heartbeat BuildHeartbeat() const;
   void OnHeartbeat(const Heartbeat& heartbeat);
   void SendHeartbeats();
+  /// Sends a heartbeat to the first member of a group that has answered the last one, which forwards it to the others.
+  void SendHeartbeatToGroup(const std::vector<std::string>& group);
+  void ForwardHeartbeat(const Heartbeat& heartbeat);
+  void OnFollowerContact(const std::string& address);
   void SendJoinAnnouncement();
   void UpdatePolicyCallers();
   void YieldToLargerInstance();
@@ -120,6 +124,8 @@
   std::map<std::string, Follower> m_followers;
   Time m_term_began_at{};
   Time m_next_heartbeat_at{};
+  std::set<std::string> m_forwarding_to;        ///< followers with a forwarded heartbeat in flight
+  std::set<std::string> m_answered_forwarding;  ///< followers that have answered since the last reply to the leader
   Time m_next_join_at{};
   Time m_leader_contact_at{};
   Time m_leader_unreachable_at;        ///< calls are withheld from then on unless the leader makes contact before
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -19,8 +19,10 @@
 }  // namespace
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
-  return json::serialize(
-      json::object{{"record", EncodeLeaderRecord(heartbeat.record)}, {"version", heartbeat.version}});
+  json::object out{{"record", EncodeLeaderRecord(heartbeat.record)}, {"version", heartbeat.version}};
+  if (!heartbeat.forward_to.empty())
+    out["forward_to"] = json::array(heartbeat.forward_to.begin(), heartbeat.forward_to.end());
+  return json::serialize(out);
 }
 
 std::optional<Heartbeat> DecodeHeartbeat(std::string_view text) {
@@ -29,8 +31,33 @@
   FieldReader reader(*object, "beat");
   const std::optional<LeaderRecord> record = DecodeLeaderRecord(reader.RequiredString("record", kMaxTextBytes));
   const std::int64_t version = reader.Int("version", 0, 0, kMaxInt);
+  Heartbeat heartbeat{record.value_or(LeaderRecord{}), version, {}};
+  if (const json::array* addresses = reader.Array("forward_to")) {
+    for (const json::value& address : *addresses) {
+      if (!address.is_string()) return std::nullopt;
+      heartbeat.forward_to.emplace_back(address.get_string());
+    }
+  }
   if (reader.error() || !record) return std::nullopt;
-  return Heartbeat{*record, version};
+  return heartbeat;
+}
+
+std::string EncodeHeartbeatReply(const std::set<std::string>& answered) {
+  if (answered.empty()) return "";
+  return json::serialize(json::object{{"answered", json::array(answered.begin(), answered.end())}});
+}
+
+std::set<std::string> DecodeHeartbeatReply(std::string_view text) {
+  std::set<std::string> answered;
+  const Result<json::object> object = ParseObject(text, "beat reply");
+  if (!object) return answered;
+  FieldReader reader(*object, "beat reply");
+  const json::array* addresses = reader.Array("answered");
+  if (addresses == nullptr) return answered;
+  for (const json::value& address : *addresses) {
+    if (address.is_string()) answered.emplace(address.get_string());
+  }
+  return answered;
 }
 
 std::string EncodeJoinAnnouncement(const JoinAnnouncement& announcement) {
--- a/src/instance/peer_codec.h
+++ b/src/instance/peer_codec.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cell/leader_record.h"
 #include "cell/policy_client.h"
@@ -12,10 +14,15 @@
 
 /// Tells a follower who leads and how far the leader has committed.
 struct Heartbeat {
-  LeaderRecord record;       ///< the address is empty if the leader has handed over
-  std::int64_t version = 0;  ///< of the leader row
+  LeaderRecord record;                  ///< the address is empty if the leader has handed over
+  std::int64_t version = 0;             ///< of the leader row
+  std::vector<std::string> forward_to;  ///< followers to which the receiver forwards the heartbeat
 };
 
+/// Reply to a heartbeat: the followers that have answered a forwarded one since the last reply.
+std::string EncodeHeartbeatReply(const std::set<std::string>& answered);
+std::set<std::string> DecodeHeartbeatReply(std::string_view text);
+
 std::string EncodeHeartbeat(const Heartbeat& heartbeat);
 std::optional<Heartbeat> DecodeHeartbeat(std::string_view text);
 
