Move long-running tasks off draining upstreams

Cause: a long-running task stayed on a draining upstream until this had left. Ruled out: room (the task was placed 0.5 s after its lease had expired), a shorter bound of leases after a takeover (an outage of the store of 9 s would then end all running work). Change: long-running tasks on draining upstreams are stopped and placed elsewhere while the upstream still lists their end, a few at a time, and only if another upstream has capacity for them. Result: CellLongRunningTest.TasksLeaveDrainingUpstreamInRounds fails before and passes after.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -97,6 +97,7 @@
   m_now = now;
   SendPostponedStarts();
   SyncDueUpstreams();
+  LeaveDrainingUpstreams();
   std::erase_if(m_unopened, [this](const auto& entry) { return OpenDueOccurrences(*entry.second); });
   if (m_needs_placement || now >= m_next_placement) PlaceWaitingSteps();
 }
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -186,6 +186,12 @@
   void MarkAllTasksLost(UpstreamState& upstream, std::string_view reason);
   void MarkTaskLost(const TaskKey& key, std::string_view reason);
   void StopStalledRuns(UpstreamState& upstream);
+  /// Moves long-running tasks off draining upstreams a few at a time. Their leases would keep them from being restarted
+  /// for seconds after the upstream has left.
+  void LeaveDrainingUpstreams();
+  bool MayMoveAnotherTask(const StepSpec& spec, const StepState& step);
+  /// Whether an upstream that may run the step has free capacity for one task.
+  bool HasCapacityFor(const Job& job, const StepSpec& spec) const;
   bool IsStalled(const TaskState& task) const;
   /// Whether a stalled member keeps its gang from completing, so that its upstream is the one to avoid.
   bool HoldsUpGang(const StepState& step, const TaskState& member) const;
@@ -248,6 +254,7 @@
   std::vector<std::pair<TaskKey, std::int32_t>> m_postponed_starts;  ///< until the leadership is confirmed
   Time m_order_timed_out_at{};                                       ///< when an order or sync last got no reply
   Time m_next_placement{};
+  Time m_next_drain_check{};
 };
 
 }  // namespace jaymast
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -29,6 +29,8 @@
 constexpr std::size_t kMaxOpenImmediateSyncs = 256;
 /// An upstream gets no tasks after this time without a reply; above the wait of a sync.
 constexpr Duration kUnreachableAfter{1'600'000};
+/// Interval between checks for long-running tasks on draining upstreams.
+constexpr Duration kDrainCheckInterval{200'000};
 /// A run whose reported progress does not change for this time counts as stalled.
 constexpr Duration kStallTimeout{2'500'000};
 /// An upstream where runs of several jobs fail, or a run stalls, gets no tasks for this time.
@@ -389,6 +391,48 @@
   }
 }
 
+void Scheduler::LeaveDrainingUpstreams() {
+  if (m_now < m_next_drain_check) return;
+  m_next_drain_check = m_now + kDrainCheckInterval;
+  for (auto& [id, upstream] : m_upstreams) {
+    if (!upstream.listing.is_draining || !upstream.is_listed || !upstream.is_adopted) continue;
+    for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) {
+      TaskState* task = FindTask(key);
+      if (task == nullptr || task->phase != TaskPhase::kRunning) continue;
+      Job& job = *FindJob(key.job);
+      const StepSpec& spec = job.spec.steps[key.step];
+      if (!spec.is_long_running || spec.is_gang || !HasCapacityFor(job, spec)) continue;
+      const std::vector<TaskState>& tasks = StepOf(job, key).tasks;
+      const auto unavailable = std::count_if(tasks.begin(), tasks.end(),
+                                             [](const TaskState& other) { return other.phase != TaskPhase::kRunning; });
+      if (unavailable >= std::max<std::int64_t>(1, spec.max_unavailable)) continue;
+      StopTask(job, key, *task, "upstream is draining");
+    }
+  }
+}
+
+bool Scheduler::MayMoveAnotherTask(const StepSpec& spec, const StepState& step) {
+  std::int64_t unavailable = 0;
+  std::int64_t to_move = 0;
+  for (const TaskState& task : step.tasks) {
+    const bool is_running = task.phase == TaskPhase::kRunning;
+    unavailable += is_running ? 0 : 1;
+    const UpstreamState* upstream = is_running ? FindUpstream(task.upstream) : nullptr;
+    to_move += upstream != nullptr && upstream->listing.is_draining ? 1 : 0;
+  }
+  // An upstream drains for a few seconds and a move takes about one, so all tasks have to leave in two or three rounds.
+  const std::int64_t round = (to_move + 1) / 2;
+  return unavailable < std::max({std::int64_t{1}, spec.max_unavailable, round});
+}
+
+bool Scheduler::HasCapacityFor(const Job& job, const StepSpec& spec) const {
+  const QueueConfig* queue = QueueOf(job);
+  if (queue == nullptr) return false;
+  return std::any_of(m_upstreams.begin(), m_upstreams.end(), [this, queue, &spec](const auto& entry) {
+    return CanRunOn(spec, *queue, entry.second) && spec.allocated_resources().FitsIn(entry.second.FreeCapacity());
+  });
+}
+
 bool Scheduler::IsStalled(const TaskState& task) const {
   return task.phase == TaskPhase::kRunning && m_now - task.progressed_at >= kStallTimeout;
 }
--- a/src/instance/cell_long_running_test.cc
+++ b/src/instance/cell_long_running_test.cc
@@ -30,5 +30,38 @@
   ExpectNoViolation(cluster);
 }
 
+// Guards against long-running tasks that stay on a draining upstream. When it had left, they were not restarted before
+// their leases had expired, up to 11 s after a takeover.
+TEST(CellLongRunningTest, TasksLeaveDrainingUpstreamInRounds) {
+  constexpr int kTasks = 4;
+  SimulatedCluster cluster(1, 2);
+  cluster.Run(seconds(2));
+  cluster.Call(0, "POST", "service", "tasks=4 cpu=1000 lasts");
+  cluster.Run(seconds(1));
+  const int draining = cluster.fake_upstreams[0]->running_tasks() == kTasks ? 0 : 1;
+  FakeUpstream& upstream = *cluster.fake_upstreams[static_cast<std::size_t>(draining)];
+  ASSERT_EQ(upstream.running_tasks(), kTasks);
+  upstream.listing().is_draining = true;
+  for (int step = 0; step < 300; ++step) {
+    cluster.Run(milliseconds(10));
+    const auto running = cluster.fake_upstreams[0]->running_tasks() + cluster.fake_upstreams[1]->running_tasks();
+    EXPECT_GE(running, kTasks / 2U);
+  }
+  EXPECT_EQ(upstream.running_tasks(), 0U);
+  EXPECT_EQ(cluster.fake_upstreams[static_cast<std::size_t>(1 - draining)]->running_tasks(), kTasks);
+  ExpectNoViolation(cluster);
+}
+
+// Guards against stopping tasks on a draining upstream while no other one has capacity for them.
+TEST(CellLongRunningTest, TasksStayOnDrainingUpstreamWithoutCapacityElsewhere) {
+  SimulatedCluster cluster(1, 1);
+  cluster.Run(seconds(2));
+  cluster.Call(0, "POST", "service", "tasks=2 cpu=1000 lasts");
+  cluster.Run(seconds(1));
+  cluster.fake_upstreams[0]->listing().is_draining = true;
+  cluster.Run(seconds(2));
+  EXPECT_EQ(cluster.fake_upstreams[0]->running_tasks(), 2U);
+}
+
 }  // namespace
 }  // namespace jaymast
