Keep forgotten tasks from crashing their adopter or running again

Other rows of the task stay. RetainOutcome also dropped tasks that the adoption still iterated over by map::at. Ruled out: keeping the row with the end as long as any other row of the task. Rows hold records of many tasks, so one long-running task would keep a growing chain of rows. Change: the removal of a task is recorded, before the deletions, as long as another row names the task; the record is deleted with the last of these rows. The adopter drops removed tasks and those without an acceptance.

--- a/src/tasks/journal_record.cc
+++ b/src/tasks/journal_record.cc
@@ -50,6 +50,8 @@
     case JournalRecordKind::kEnded:
       object["end"] = EndToJson(record.end);
       break;
+    case JournalRecordKind::kRemoved:
+      break;
   }
   return object;
 }
--- a/src/tasks/journal_record.h
+++ b/src/tasks/journal_record.h
@@ -20,11 +20,12 @@
   kClaimed,   ///< owner, upstream, domain, epoch
   kReleased,  ///< checkpoint; the claimed attempt has ended, and the task is queued again and resumes from it
   kEnded,     ///< end
+  kRemoved,   ///< the task has ended and its outcome is not kept any more
 };
 
 template <>
 struct EnumNames<JournalRecordKind> {
-  static constexpr std::array<std::string_view, 4> kNames = {"accepted", "claimed", "released", "ended"};
+  static constexpr std::array<std::string_view, 5> kNames = {"accepted", "claimed", "released", "ended", "removed"};
 };
 
 /// One state change of a task. Records of a task are replayed in the order of their row versions.
--- a/src/tasks/task_adoption.cc
+++ b/src/tasks/task_adoption.cc
@@ -89,17 +89,32 @@
       task.end = record.end;
       task.phase = HomeTaskPhase::kEnded;
       return;
+    case JournalRecordKind::kRemoved:
+      // ResumeAdopted() drops tasks without a specification.
+      task.spec = TaskSpec{};
+      return;
   }
 }
 
 void TaskManager::ResumeAdopted(const std::set<TaskId>& tasks) {
   for (const TaskId& id : tasks) {
-    HomeTask& task = m_tasks.at(id);
+    const auto found = m_tasks.find(id);
+    if (found == m_tasks.end()) continue;
+    HomeTask& task = found->second;
+    if (task.spec.id.empty()) {
+      // Its removal is recorded, or the row of its acceptance was deleted while other tasks keep this row.
+      m_tasks.erase(found);
+      m_journal.Remove(id, "");
+      continue;
+    }
     if (task.phase == HomeTaskPhase::kQueued) task.attempt += kAdoptedAttemptGap;
     if (!task.spec.gang.empty()) m_gangs[task.spec.gang].insert(id);
   }
   for (const TaskId& id : tasks) {
-    HomeTask& task = m_tasks.at(id);
+    // RetainOutcome() of another task may have dropped this one.
+    const auto found = m_tasks.find(id);
+    if (found == m_tasks.end()) continue;
+    HomeTask& task = found->second;
     if (task.phase == HomeTaskPhase::kEnded) {
       RetainOutcome(id);
     } else if (task.phase == HomeTaskPhase::kStarted) {
--- a/src/tasks/task_dispatch.cc
+++ b/src/tasks/task_dispatch.cc
@@ -271,6 +271,7 @@
 
 void TaskManager::ProbeNewOwner(const AttemptId& id) {
   const HomeTask* task = Find(id);
+  if (task == nullptr) return;
   ReadRequest request;
   request.keys.push_back(OwnerKey(task->domain, task->upstream));
   m_table.Read(request, [this, id](const ReadReply& reply) {
--- a/src/tasks/task_journal.cc
+++ b/src/tasks/task_journal.cc
@@ -65,14 +65,18 @@
   }
   const std::string key = fmt::format("{}{:012}", JournalPrefix(m_context.self), m_next_row++);
   writes.push_back({key, EncodeRecords(records)});
+  // Before the deletions, one of which may be the row with the end of a removed task.
+  Removals removals;
+  if (std::optional<Write> write = TakeRemovals(removals)) writes.push_back(std::move(*write));
   const std::size_t deletes = std::min(m_rows_to_delete.size(), kMaxDeletesPerWrite);
   for (std::size_t i = 0; i < deletes; ++i) writes.push_back({m_rows_to_delete[i], std::nullopt});
   m_rows_to_delete.erase(m_rows_to_delete.begin(), m_rows_to_delete.begin() + static_cast<std::ptrdiff_t>(deletes));
   ++m_open_writes;
   auto shared = std::make_shared<Batch>(std::move(batch));
   m_table.Commit(std::move(conditions), std::move(writes),
-                 [this, key, shared](CommitOutcome outcome, std::int64_t /*version*/) {
+                 [this, key, shared, removals](CommitOutcome outcome, std::int64_t /*version*/) {
                    --m_open_writes;
+                   if (outcome != CommitOutcome::kCommitted) OnRemovalsNotWritten(removals);
                    if (outcome == CommitOutcome::kConflict) return OnConflict(std::move(*shared));
                    if (outcome == CommitOutcome::kCommitted) {
                      for (const Pending& pending : *shared) AddTaskToRow(key, pending.record.id.task);
@@ -120,14 +124,57 @@
   if (!extra_row.empty()) m_rows_to_delete.push_back(extra_row);
   const auto rows = m_rows_by_task.find(task);
   if (rows == m_rows_by_task.end()) return;
+  std::set<std::string> kept;
   for (const std::string& key : rows->second) {
     const auto row = m_tasks_by_row.find(key);
     row->second.erase(task);
-    if (!row->second.empty()) continue;
-    m_rows_to_delete.push_back(key);
-    m_tasks_by_row.erase(row);
+    if (row->second.empty()) {
+      DeleteRow(key);
+    } else {
+      kept.insert(key);
+    }
   }
   m_rows_by_task.erase(rows);
+  if (!kept.empty()) m_unwritten_removals[task] = std::move(kept);
+}
+
+void TaskJournal::DeleteRow(const std::string& key) {
+  m_tasks_by_row.erase(key);
+  m_rows_to_delete.push_back(key);
+  for (auto& [task, kept] : m_unwritten_removals) kept.erase(key);
+  std::erase_if(m_unwritten_removals, [](const auto& entry) { return entry.second.empty(); });
+  for (auto it = m_removal_rows.begin(); it != m_removal_rows.end();) {
+    it->second.erase(key);
+    if (!it->second.empty()) {
+      ++it;
+      continue;
+    }
+    m_rows_to_delete.push_back(it->first);
+    it = m_removal_rows.erase(it);
+  }
+}
+
+std::optional<Write> TaskJournal::TakeRemovals(Removals& removals) {
+  if (m_unwritten_removals.empty()) return std::nullopt;
+  removals.tasks = std::exchange(m_unwritten_removals, {});
+  removals.key = fmt::format("{}{:012}", JournalPrefix(m_context.self), m_next_row++);
+  std::vector<JournalRecord> records;
+  for (const auto& [task, kept] : removals.tasks) {
+    JournalRecord& record = records.emplace_back();
+    record.kind = JournalRecordKind::kRemoved;
+    record.id = AttemptId{task, 0};
+    m_removal_rows[removals.key].insert(kept.begin(), kept.end());
+  }
+  return Write{removals.key, EncodeRecords(records)};
+}
+
+void TaskJournal::OnRemovalsNotWritten(const Removals& removals) {
+  m_removal_rows.erase(removals.key);
+  for (const auto& [task, kept] : removals.tasks) {
+    for (const std::string& key : kept) {
+      if (m_tasks_by_row.contains(key)) m_unwritten_removals[task].insert(key);
+    }
+  }
 }
 
 }  // namespace jaymast
--- a/src/tasks/task_journal.h
+++ b/src/tasks/task_journal.h
@@ -36,7 +36,8 @@
   /// Registers a row written by another entry, so that it is deleted once all its tasks are removed.
   void AddRow(const std::string& key, const std::vector<JournalRecord>& records);
 
-  /// Removes a task. Rows that hold no other task are deleted with the next batch.
+  /// Removes an ended task. Rows that hold no other task are deleted with the next batch. If other rows of the task are
+  /// kept, a record of its removal is written: an adopter that read a claim without its end would run the task again.
   /// @param extra_row key of another row to delete, or empty
   void Remove(const TaskId& task, const std::string& extra_row);
 
@@ -56,6 +57,16 @@
   void WriteBatch(Batch batch);
   void OnConflict(Batch batch);
   void AddTaskToRow(const std::string& key, const TaskId& task);
+  void DeleteRow(const std::string& key);
+
+  /// Removed tasks, each with the rows that still name it, and the row that records their removal.
+  struct Removals {
+    std::string key;
+    std::map<TaskId, std::set<std::string>> tasks;
+  };
+  /// Row with the removals that are not recorded yet, if there are any.
+  std::optional<Write> TakeRemovals(Removals& removals);
+  void OnRemovalsNotWritten(const Removals& removals);
 
   Context& m_context;
   TableClient& m_table;
@@ -63,6 +74,9 @@
   std::vector<Pending> m_pending;
   std::map<std::string, std::set<TaskId>> m_tasks_by_row;
   std::map<TaskId, std::set<std::string>> m_rows_by_task;
+  std::map<TaskId, std::set<std::string>> m_unwritten_removals;
+  /// Rows that record removals, each with the rows that name one of the removed tasks.
+  std::map<std::string, std::set<std::string>> m_removal_rows;
   std::vector<std::string> m_rows_to_delete;
   std::uint64_t m_next_row = 1;
   int m_open_writes = 0;
--- a/src/testing/session_player.cc
+++ b/src/testing/session_player.cc
@@ -103,6 +103,7 @@
   settings.domain = DomainId(command.Option("domain"));
   settings.peer_address = "127.0.0.1:" + std::to_string(7001 + m_entries.size());
   settings.initial_config = m_initial_config;
+  settings.max_retained_outcomes = command.Number("retain", settings.max_retained_outcomes);
   m_world.network.Place(settings.name, settings.domain.value());
   SessionEntry::Surroundings surroundings{
       m_world, m_platform, m_entries, m_runners,
