Move tasks off draining upstreams in rounds

Cause: added MayMoveAnotherTask but did not call it, so tasks still left one at a time, which takes longer than an upstream drains when a policy call of 0.45 s belongs to each move. The read of the whole change found it. Ruled out: stopping all tasks of a step at once, as up to half of them would be down. Change: half of the tasks that have to move may be down at a time. The test has 8 tasks and a policy queue. Result: CellLongRunningTest.TasksLeaveDrainingUpstreamInRounds fails with one move at a time and passes now.

--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -402,10 +402,7 @@
       Job& job = *FindJob(key.job);
       const StepSpec& spec = job.spec.steps[key.step];
       if (!spec.is_long_running || spec.is_gang || !HasCapacityFor(job, spec)) continue;
-      const std::vector<TaskState>& tasks = StepOf(job, key).tasks;
-      const auto unavailable = std::count_if(tasks.begin(), tasks.end(),
-                                             [](const TaskState& other) { return other.phase != TaskPhase::kRunning; });
-      if (unavailable >= std::max<std::int64_t>(1, spec.max_unavailable)) continue;
+      if (!MayMoveAnotherTask(spec, StepOf(job, key))) continue;
       StopTask(job, key, *task, "upstream is draining");
     }
   }
@@ -447,7 +444,7 @@
   if (!is_assembled) return false;
   const auto is_stalled = [this](const TaskState& other) { return IsStalled(other); };
   if (std::all_of(step.tasks.begin(), step.tasks.end(), is_stalled)) {
-    // Nothing tells the cause from its effects but the distance to the end.
+    // The others may be waiting for the slowest one.
     return std::none_of(step.tasks.begin(), step.tasks.end(),
                         [&member](const TaskState& other) { return other.percent < member.percent; });
   }
--- a/src/instance/cell_long_running_test.cc
+++ b/src/instance/cell_long_running_test.cc
@@ -33,11 +33,12 @@
 // Guards against long-running tasks that stay on a draining upstream. When it had left, they were not restarted before
 // their leases had expired, up to 11 s after a takeover.
 TEST(CellLongRunningTest, TasksLeaveDrainingUpstreamInRounds) {
-  constexpr int kTasks = 4;
+  constexpr int kTasks = 8;
   SimulatedCluster cluster(1, 2);
+  cluster.config->queues.front().policy = PolicyConfig{450, 1, 2000};
+  cluster.Run(seconds(2));
+  cluster.Call(0, "POST", "service", "tasks=8 cpu=1000 lasts");
   cluster.Run(seconds(2));
-  cluster.Call(0, "POST", "service", "tasks=4 cpu=1000 lasts");
-  cluster.Run(seconds(1));
   const int draining = cluster.fake_upstreams[0]->running_tasks() == kTasks ? 0 : 1;
   FakeUpstream& upstream = *cluster.fake_upstreams[static_cast<std::size_t>(draining)];
   ASSERT_EQ(upstream.running_tasks(), kTasks);
@@ -47,7 +48,8 @@
     const auto running = cluster.fake_upstreams[0]->running_tasks() + cluster.fake_upstreams[1]->running_tasks();
     EXPECT_GE(running, kTasks / 2U);
   }
-  EXPECT_EQ(upstream.running_tasks(), 0U);
+  EXPECT_EQ(upstream.running_tasks(), 0U) << "after the shortest time for which an upstream drains";
+  cluster.Run(seconds(1));
   EXPECT_EQ(cluster.fake_upstreams[static_cast<std::size_t>(1 - draining)]->running_tasks(), kTasks);
   ExpectNoViolation(cluster);
 }
