Make the drain test fail with one move at a time

Change: 24 tasks. Result: with one move at a time 11 tasks are left on the upstream after 3 s and the test fails; with rounds it passes.

--- a/src/instance/cell_long_running_test.cc
+++ b/src/instance/cell_long_running_test.cc
@@ -33,11 +33,11 @@
 // Guards against long-running tasks that stay on a draining upstream. When it had left, they were not restarted before
 // their leases had expired, up to 11 s after a takeover.
 TEST(CellLongRunningTest, TasksLeaveDrainingUpstreamInRounds) {
-  constexpr int kTasks = 8;
+  constexpr int kTasks = 24;
   SimulatedCluster cluster(1, 2);
   cluster.config->queues.front().policy = PolicyConfig{450, 1, 2000};
   cluster.Run(seconds(2));
-  cluster.Call(0, "POST", "service", "tasks=8 cpu=1000 lasts");
+  cluster.Call(0, "POST", "service", "tasks=24 cpu=300 lasts");
   cluster.Run(seconds(2));
   const int draining = cluster.fake_upstreams[0]->running_tasks() == kTasks ? 0 : 1;
   FakeUpstream& upstream = *cluster.fake_upstreams[static_cast<std::size_t>(draining)];
