--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -20,8 +20,9 @@
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
   json::object out{{"record", EncodeLeaderRecord(heartbeat.record)}, {"version", heartbeat.version}};
-  if (!heartbeat.forward_to.empty())
+  if (!heartbeat.forward_to.empty()) {
     out["forward_to"] = json::array(heartbeat.forward_to.begin(), heartbeat.forward_to.end());
+  }
   return json::serialize(out);
 }
 
