--- a/src/cell_testing/fake_upstream.h
+++ b/src/cell_testing/fake_upstream.h
@@ -139,7 +139,7 @@
         std::set<std::size_t>& finished = m_history.gang_members_at_100[GangRun(key, run.run)];
         finished.insert(key.index);
         if (finished.size() < run.work.gang_size) {
-          m_queue.After(kGangPollInterval, [this] { Advance(); });
+          ScheduleGangPoll();
           continue;
         }
       }
@@ -179,6 +179,16 @@
     return std::to_string(key.index) + "@" + std::to_string(tenths);
   }
 
+  /// At most one poll is scheduled, so that the number of scheduled calls stays bounded.
+  void ScheduleGangPoll() {
+    if (m_is_gang_poll_scheduled) return;
+    m_is_gang_poll_scheduled = true;
+    m_queue.After(kGangPollInterval, [this] {
+      m_is_gang_poll_scheduled = false;
+      Advance();
+    });
+  }
+
   std::int64_t ClockMs() const { return 1 + ToMillis(m_queue.now() - m_started_at); }
 
   void ExtendLease(std::int64_t until_ms) {
@@ -233,6 +243,7 @@
   std::map<TaskKey, std::int32_t> m_highest_run;
   std::vector<EndedRun> m_ends;
   std::set<std::int64_t> m_ends_before_lease_expiry;
+  bool m_is_gang_poll_scheduled = false;
   std::uint64_t m_wait_count = 0;
   std::map<std::uint64_t, std::function<void(SyncReply)>> m_waiting_syncs;
 };
