--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -30,10 +30,13 @@
 /// The spans before it have to be calm for this long.
 constexpr std::int64_t kCalmMs = 4'000;
 constexpr std::int64_t kContactMs = 3'000;
+/// Submissions are asked for this long after the end of the traffic.
+constexpr std::int64_t kFinishMs = 14'000;
 /// A consumer sends a submission once and up to four times again.
 constexpr int kTries = 5;
 
-const std::vector<Route> kRoutes = {{"r-loadcase", "/lohu930/"}, {"r-preview", "/pule252/"}};
+const std::vector<Route> kRoutes = {
+    {"r-loadcase", "/lohu930/", 1}, {"r-preview", "/pule252/", 0}, {"r-rerun", "/pufi791/", 2}};
 
 struct Case {
   Site& site;
@@ -149,9 +152,10 @@
   if (c.site.Submit("/pule252/", other, Body("0:ms=12000,end=done;1:ms=2000,end=done", steps), kTries).status != 200) {
     return c.Fail("the other submission was not accepted");
   }
-  SleepMs(18'000);
+  SleepMs(12'000);
   const Answer answer = c.site.Submit("/pule252/", later, Body("0:ms=1000,end=done", {Step(1, 1'000)}), kTries);
-  while (NowMs() < accepted + 45'000) {
+  const std::int64_t end_of_traffic = NowMs();
+  while (NowMs() < end_of_traffic + kFinishMs + kCalmMs) {
     c.site.RestartEnded();
     SleepMs(200);
   }
@@ -179,7 +183,7 @@
     return c.Fail("the submission was not accepted");
   }
   SleepMs(1'000);
-  c.site.PutConfig(11, {kRoutes[1]});
+  c.site.PutConfig(11, {kRoutes[1], kRoutes[2]});
   SleepMs(2'500);
   if (c.has_trouble && !RestartLeader(c.site)) return c.Fail("no leader");
   const std::int64_t calm = NowMs() + (c.has_trouble ? kContactMs + kCalmMs : 0);
@@ -302,9 +306,38 @@
                      " of 3, three times: " + std::to_string(machines) + "; answers (0: none):" + statuses);
 }
 
+/// A gang that no runner can ever hold.
+int HopelessGang(const Case& c) {
+  if (!SetUp(c.site, 6)) return c.Fail("the entries were not ready");
+  SleepMs(2'000);
+  const std::string gang = "5c0e7a21d94b36f8";
+  const std::string other = "77aa7a21d94b0001";
+  json::object member = Step(2, 60'000);
+  member["gang"] = true;
+  // A runner has 32 cores.
+  member["cpu"] = c.has_trouble ? 48'000 : 16'000;
+  if (c.site.Submit("/lohu930/", gang, Body("0:ms=60000,end=done", {member}), kTries).status != 200) {
+    return c.Fail("the gang was not accepted");
+  }
+  SleepMs(3'000);
+  const std::int64_t accepted = NowMs();
+  if (c.site.Submit("/pufi791/", other, Body("0:ms=1000,end=done", {Step(4, 1'000)}), kTries).status != 200) {
+    return c.Fail("the other submission was not accepted");
+  }
+  SleepMs(25'000);
+  c.site.Get("/pufi791/" + other, 3);
+  const std::vector<RunHistory> history = c.site.HistoryOf(other);
+  const std::int64_t idle = LongestIdle(history, accepted, DoneOrNow(history, 4));
+  return c.Judge(idle >= kIdleMs + kCalmMs,
+                 "LOST: the accepted submission " + other + " had nothing running for " + Seconds(idle) +
+                     "; its ends `done`: " + std::to_string(CountEnds(history, "done")) +
+                     " of 4; runs of the gang: " + std::to_string(c.site.HistoryOf(gang).size()));
+}
+
 const std::map<std::string, std::function<int(const Case&)>> kCases = {
-    {"occurrences", Occurrences},           {"repeat-count", RepeatCount}, {"removed-route", RemovedRoute},
-    {"lasting-ends-done", LastingEndsDone}, {"long-task", LongTask},       {"waiting-count", WaitingCount},
+    {"occurrences", Occurrences},    {"hopeless-gang", HopelessGang},        {"repeat-count", RepeatCount},
+    {"removed-route", RemovedRoute}, {"lasting-ends-done", LastingEndsDone}, {"long-task", LongTask},
+    {"waiting-count", WaitingCount},
 };
 
 }  // namespace
--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -91,7 +91,7 @@
                                 {"kind", "non_idempotent"},
                                 {"timeoutMs", 3000},
                                 {"targetDurationMs", 1000},
-                                {"priority", 1},
+                                {"priority", route.priority},
                                 {"service", "desk"},
                                 {"maxAttempts", 4},
                                 {"stretch", 2.2},
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -37,6 +37,7 @@
 struct Route {
   std::string name;
   std::string prefix;
+  int priority = 1;
 };
 
 /// A small deployment on loopback addresses: store, runners, entries, operator and consumers.
