--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -316,8 +316,15 @@
   member["gang"] = true;
   // A runner has 32 cores.
   member["cpu"] = c.has_trouble ? 48'000 : 16'000;
-  if (c.site.Submit("/lohu930/", gang, Body("0:ms=60000,end=done", {member}), kTries).status != 200) {
-    return c.Fail("the gang was not accepted");
+  // One message of this queue in 20 is hopeless, within 3 s.
+  constexpr int kMessages = 20;
+  for (int i = 0; i < kMessages; ++i) {
+    const bool is_gang = i == kMessages / 2;
+    const std::string id = is_gang ? gang : "66aa7a21d94b00" + std::to_string(10 + i);
+    const std::string body =
+        is_gang ? Body("0:ms=60000,end=done", {member}) : Body("0:ms=1000,end=done", {Step(1, 1'000)});
+    if (c.site.Submit("/lohu930/", id, body, kTries).status != 200) return c.Fail("a submission was not accepted");
+    SleepMs(50);
   }
   SleepMs(3'000);
   const std::int64_t accepted = NowMs();
