--- a/src/cell/client_call.h
+++ b/src/cell/client_call.h
@@ -41,6 +41,7 @@
   JobState state = JobState::kPending;
   std::int64_t waiting_jobs = 0;
   std::int64_t retry_after_s = 0;
+  std::string reason{};  ///< why the call is malformed, or empty
 };
 
 using ClientReplyFunction = std::function<void(const ClientReply&)>;
--- a/src/cell/record_log.cc
+++ b/src/cell/record_log.cc
@@ -8,9 +8,11 @@
 namespace jaymast {
 namespace {
 
-/// A row of the store holds 64 KiB; a single record may take most of it.
+/// A row of the store holds 64 KiB.
 constexpr std::size_t kMaxRowBytes = std::size_t{32} * 1024;
-/// Removals in one transaction, which carries at most 100 rows.
+/// Rows in one transaction, which carries at most 100, among them the leader row.
+constexpr std::size_t kMaxRows = 99;
+/// Removals in one transaction.
 constexpr std::size_t kMaxRemovals = 60;
 /// Up to this many rows nothing is compacted: a page of a scan carries 500.
 constexpr std::size_t kMinRowsToCompact = 100;
@@ -32,23 +34,55 @@
   m_rows[number];
   m_next_row = std::max(m_next_row, number + 1);
   m_dead_rows.insert(number);
-  for (const LogRecord& record : records) AddToIndex(record.job, record.kind, number, record.text.size());
+  for (const LogRecord& record : records) {
+    AddToIndex(record.job, record.name, record.piece, number, record.text.size());
+  }
 }
 
-void RecordLog::Put(const JobId& job, RecordKind kind, std::string_view text) {
-  const std::string line = EncodeLogRecord(job, kind, text);
-  if (m_pending_rows.empty() || m_pending_rows.rbegin()->second.size() + line.size() > kMaxRowBytes) {
+std::pair<const std::int64_t, std::string>& RecordLog::RowWithSpace(std::size_t bytes) {
+  if (m_pending_rows.empty() || m_pending_rows.rbegin()->second.size() + bytes > kMaxRowBytes) {
     m_pending_rows[m_next_row];
     m_rows[m_next_row];
     ++m_next_row;
   }
-  auto& [row, pending] = *m_pending_rows.rbegin();
-  pending += line;
-  m_pending_bytes += line.size();
-  AddToIndex(job, kind, row, line.size());
+  return *m_pending_rows.rbegin();
+}
+
+void RecordLog::Put(const JobId& job, const RecordName& name, std::string_view text) {
+  std::size_t piece = 0;
+  do {
+    const std::string_view piece_text = text.substr(0, kMaxRowBytes);
+    text.remove_prefix(piece_text.size());
+    const std::string line = EncodeLogRecord(job, name, piece, piece_text);
+    auto& [row, pending] = RowWithSpace(line.size());
+    pending += line;
+    m_pending_bytes += line.size();
+    AddToIndex(job, name, piece, row, line.size());
+    ++piece;
+  } while (!text.empty());
+}
+
+void RecordLog::DropOccurrence(const JobId& job, std::size_t occurrence) {
+  const auto found = m_job_records.find(job);
+  if (found == m_job_records.end()) return;
+  const auto record = found->second.occurrences.find(occurrence);
+  if (record == found->second.occurrences.end()) return;
+  Supersede(record->second);
+  found->second.occurrences.erase(record);
 }
 
-void RecordLog::AddToIndex(const JobId& job, RecordKind kind, std::int64_t row, std::size_t bytes) {
+void RecordLog::RetainOccurrences(const JobId& job, const std::map<std::size_t, Occurrence>& open) {
+  const auto found = m_job_records.find(job);
+  if (found == m_job_records.end()) return;
+  auto& records = found->second.occurrences;
+  for (auto& [number, record] : records) {
+    if (!open.contains(number)) Supersede(record);
+  }
+  std::erase_if(records, [&open](const auto& entry) { return !open.contains(entry.first); });
+}
+
+void RecordLog::AddToIndex(const JobId& job, const RecordName& name, std::size_t piece, std::int64_t row,
+                           std::size_t bytes) {
   JobRecords& job_records = m_job_records[job];
   Row& target = m_rows[row];
   target.mentions.push_back(job);
@@ -57,23 +91,32 @@
   m_dead_rows.erase(row);
   target.live_bytes += bytes;
   m_live_bytes += bytes;
-  RecordPosition& position = kind == RecordKind::kProgress ? job_records.progress : job_records.job;
-  Supersede(position);
-  position = {row, bytes};
-  if (kind == RecordKind::kProgress) return;
-  job_records.job_kind = kind;
-  if (kind != RecordKind::kJob) Supersede(job_records.progress);
+  const auto find_position = [&job_records, &name]() -> RecordPosition& {
+    if (name.kind == RecordKind::kOccurrence) return job_records.occurrences[name.occurrence];
+    return name.kind == RecordKind::kProgress ? job_records.progress : job_records.job;
+  };
+  RecordPosition& position = find_position();
+  if (piece == 0) Supersede(position);
+  position.push_back({row, bytes});
+  if (name.kind == RecordKind::kProgress || name.kind == RecordKind::kOccurrence) return;
+  job_records.job_kind = name.kind;
+  if (name.kind != RecordKind::kJob) {
+    Supersede(job_records.progress);
+    for (auto& [number, record] : job_records.occurrences) Supersede(record);
+    job_records.occurrences.clear();
+  }
   DropTombstoneIfLast(job_records);
 }
 
 void RecordLog::Supersede(RecordPosition& position) {
-  if (position.row == 0) return;
-  Row& row = m_rows[position.row];
-  --row.live;
-  row.live_bytes -= position.bytes;
-  m_live_bytes -= position.bytes;
-  if (row.live == 0) m_dead_rows.insert(position.row);
-  position = {};
+  for (const PiecePosition& piece : position) {
+    Row& row = m_rows[piece.row];
+    --row.live;
+    row.live_bytes -= piece.bytes;
+    m_live_bytes -= piece.bytes;
+    if (row.live == 0) m_dead_rows.insert(piece.row);
+  }
+  position.clear();
 }
 
 void RecordLog::DropTombstoneIfLast(JobRecords& job_records) {
@@ -101,8 +144,16 @@
     const bool is_listed =
         std::any_of(items.begin(), items.end(), [&job](const RecordRef& item) { return item.job == job; });
     if (is_listed) continue;
-    if (job_records.job.row == emptiest->first) items.push_back({job, job_records.job_kind});
-    if (job_records.progress.row == emptiest->first) items.push_back({job, RecordKind::kProgress});
+    const auto add_if_in_row = [&](const RecordPosition& position, const RecordName& name) {
+      const bool is_in_row = std::any_of(position.begin(), position.end(),
+                                         [&](const PiecePosition& piece) { return piece.row == emptiest->first; });
+      if (is_in_row) items.push_back({job, name});
+    };
+    add_if_in_row(job_records.job, {job_records.job_kind});
+    add_if_in_row(job_records.progress, {RecordKind::kProgress});
+    for (const auto& [number, position] : job_records.occurrences) {
+      add_if_in_row(position, {RecordKind::kOccurrence, number});
+    }
   }
   return items;
 }
@@ -112,7 +163,8 @@
   for (auto& [row, text] : m_pending_rows) writes.push_back({kRecordTable, RowKey(row), std::move(text)});
   // A row that is about to be written can't be removed by the same transaction. It is the newest.
   const std::int64_t first_pending = m_pending_rows.empty() ? m_next_row : m_pending_rows.begin()->first;
-  for (std::size_t removals = 0; removals < kMaxRemovals && !m_dead_rows.empty(); ++removals) {
+  const std::size_t max_removals = std::min(kMaxRemovals, kMaxRows - std::min(kMaxRows, writes.size()));
+  for (std::size_t removals = 0; removals < max_removals && !m_dead_rows.empty(); ++removals) {
     const std::int64_t row = *m_dead_rows.begin();
     if (row >= first_pending) break;
     m_dead_rows.erase(m_dead_rows.begin());
--- a/src/cell/record_log.h
+++ b/src/cell/record_log.h
@@ -7,10 +7,12 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cell/log_record.h"
 #include "cell/state_store.h"
+#include "jobs/job.h"
 
 namespace jaymast {
 
@@ -26,14 +28,20 @@
  public:
   struct RecordRef {
     JobId job;
-    RecordKind kind = RecordKind::kJob;
+    RecordName name;
   };
 
   /// Adds a row of an earlier leader. Rows must come in ascending order of their keys.
   void AddLoadedRow(const StateRow& row, const std::vector<LogRecord>& records);
 
-  /// Appends a record. `text` must not contain line breaks.
-  void Put(const JobId& job, RecordKind kind, std::string_view text);
+  /// Appends a record, in several pieces if it is longer than a row. `text` must not contain line breaks.
+  void Put(const JobId& job, const RecordName& name, std::string_view text);
+
+  /// Drops the record of an occurrence that the progress record of its job does not give as open any more.
+  void DropOccurrence(const JobId& job, std::size_t occurrence);
+
+  /// Drops the records of all occurrences of a job but the open ones, after loading.
+  void RetainOccurrences(const JobId& job, const std::map<std::size_t, Occurrence>& open);
 
   /// Allows the final record of the job to be removed.
   void Forget(const JobId& job);
@@ -54,19 +62,24 @@
     std::size_t live = 0;         ///< records that are not superseded
     std::size_t live_bytes = 0;
   };
-  /// Position of a live record.
-  struct RecordPosition {
-    std::int64_t row = 0;  ///< 0 if there is none
+  /// Position of one piece of a live record.
+  struct PiecePosition {
+    std::int64_t row = 0;
     std::size_t bytes = 0;
   };
+  /// Positions of the pieces of a live record, empty if there is none.
+  using RecordPosition = std::vector<PiecePosition>;
   struct JobRecords {
     RecordPosition job;  ///< kJob, kFinal or kTombstone
     RecordPosition progress;
+    std::map<std::size_t, RecordPosition> occurrences;
     RecordKind job_kind = RecordKind::kJob;
-    int mentions = 0;  ///< records in all existing rows, superseded ones too
+    int mentions = 0;  ///< pieces in all existing rows, superseded ones too
   };
 
-  void AddToIndex(const JobId& job, RecordKind kind, std::int64_t row, std::size_t bytes);
+  /// Text of the row that takes the next piece, a new one if the newest lacks space for `bytes`.
+  std::pair<const std::int64_t, std::string>& RowWithSpace(std::size_t bytes);
+  void AddToIndex(const JobId& job, const RecordName& name, std::size_t piece, std::int64_t row, std::size_t bytes);
   void Supersede(RecordPosition& position);
   /// Supersedes the tombstone of a job when no older record of the job is left.
   void DropTombstoneIfLast(JobRecords& job_records);
--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -10,8 +10,12 @@
 namespace jaymast {
 namespace {
 
-/// A transaction carries at most 1 MB; rows are encoded with a third more.
-constexpr std::size_t kMaxBatchBytes = 500'000;
+/// A transaction carries at most 1 MB; rows are encoded with a third more, and the last record may exceed this size by
+/// kMaxRecordBytes.
+constexpr std::size_t kMaxBatchBytes = 300'000;
+/// Bounds of the open occurrences of one job. Further ones are opened when earlier ones have ended.
+constexpr std::size_t kMaxOpenOccurrences = 1'000;
+constexpr std::int64_t kMaxOpenTasks = 20'000;
 /// The objective allows one policy call with this many upstreams for each step.
 constexpr double kUpstreamsPerCallInObjective = 30;
 /// Ended jobs are kept for this time; clients may read them for 120 s.
@@ -41,6 +45,7 @@
 
 void Scheduler::FinishLoading() {
   for (auto& [id, job] : m_jobs) {
+    m_log.RetainOccurrences(id, job->occurrences);
     if (IsSettled(*job)) {
       if (job->is_final_recorded) {
         m_ended.emplace_back(m_now + kEndedJobRetention, id);
@@ -54,8 +59,7 @@
       m_unopened[id] = job.get();
     }
     SetObjective(*job);
-    for (std::size_t k = 0; k < job->occurrences.size(); ++k) {
-      Occurrence& occurrence = job->occurrences[k];
+    for (auto& [k, occurrence] : job->occurrences) {
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         StepState& step = occurrence.steps[s];
         for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -106,16 +110,16 @@
   CommitBatch batch;
   std::vector<std::pair<JobId, std::uint64_t>> batched_changes;
   const auto record = [this, &batched_changes](Job& job) {
-    job.is_queued_for_commit = false;
-    batched_changes.emplace_back(job.id, job.change);
-    PutRecords(job);
+    const std::uint64_t change = PutRecords(job);
+    batched_changes.emplace_back(job.id, change);
+    job.is_queued_for_commit = change < job.change;
+    if (job.is_queued_for_commit) m_commit_queue.push_back(job.id);
   };
   while (!m_commit_queue.empty() && m_log.pending_bytes() < kMaxBatchBytes) {
     const JobId id = m_commit_queue.front();
     m_commit_queue.pop_front();
     Job* job = FindJob(id);
-    // Compaction may already have recorded the queued change.
-    if (job != nullptr && job->is_queued_for_commit) record(*job);
+    if (job != nullptr) record(*job);
   }
   while (!m_ended.empty() && m_ended.front().first <= m_now) {
     m_log.Forget(m_ended.front().second);
@@ -123,14 +127,7 @@
     m_ended.pop_front();
   }
   for (const RecordLog::RecordRef& item : m_log.RecordsToCompact()) {
-    Job* job = FindJob(item.job);
-    if (job == nullptr) {
-      m_log.Put(item.job, RecordKind::kTombstone, "");
-    } else if (item.kind == RecordKind::kProgress) {
-      record(*job);
-    } else {
-      m_log.Put(item.job, item.kind, item.kind == RecordKind::kFinal ? EncodeFinalRecord(*job) : EncodeJobRecord(*job));
-    }
+    if (m_log.pending_bytes() < kMaxBatchBytes) CompactRecord(item);
   }
   batch.writes = m_log.TakeWrites();
   if (!m_commit_queue.empty()) m_mark_dirty();
@@ -149,6 +146,7 @@
       for (const auto& action : actions) action();
       if (IsSettled(*job) && job->commit_callbacks.empty()) {
         job->occurrences.clear();
+        job->unrecorded_occurrences.clear();
         job->spec = JobSpec{};
       }
     }
@@ -156,26 +154,63 @@
   return batch;
 }
 
-void Scheduler::PutRecords(Job& job) {
+std::uint64_t Scheduler::PutRecords(Job& job) {
   if (IsSettled(job)) {
-    if (job.is_final_recorded) return;
-    m_log.Put(job.id, RecordKind::kFinal, EncodeFinalRecord(job));
+    if (job.is_final_recorded) return job.change;
+    m_log.Put(job.id, {RecordKind::kFinal}, EncodeFinalRecord(job));
     job.is_final_recorded = true;
     m_ended.emplace_back(m_now + kEndedJobRetention, job.id);
-    return;
+    return job.change;
   }
   if (!job.is_spec_recorded) {
-    m_log.Put(job.id, RecordKind::kJob, EncodeJobRecord(job));
+    m_log.Put(job.id, {RecordKind::kJob}, EncodeJobRecord(job));
     job.is_spec_recorded = true;
     // A job without a progress record is loaded as one without runs.
-    if (HasNoProgress(job)) return;
+    if (HasNoProgress(job)) return job.change;
+  }
+  m_log.Put(job.id, {RecordKind::kProgress}, EncodeProgressRecord(job));
+  PutOccurrences(job);
+  if (job.unrecorded_occurrences.empty()) return job.change;
+  return job.occurrences.at(job.unrecorded_occurrences.front()).unrecorded_since - 1;
+}
+
+void Scheduler::PutOccurrences(Job& job) {
+  while (!job.unrecorded_occurrences.empty() && m_log.pending_bytes() < kMaxBatchBytes) {
+    const auto found = job.occurrences.find(job.unrecorded_occurrences.front());
+    job.unrecorded_occurrences.pop_front();
+    auto& [number, occurrence] = *found;
+    occurrence.unrecorded_since = 0;
+    if (occurrence.is_done) {
+      m_log.DropOccurrence(job.id, number);
+      job.occurrences.erase(found);
+    } else {
+      m_log.Put(job.id, {RecordKind::kOccurrence, number}, EncodeOccurrenceRecord(occurrence));
+    }
+  }
+}
+
+void Scheduler::CompactRecord(const RecordLog::RecordRef& item) {
+  const Job* job = FindJob(item.job);
+  if (job == nullptr) return m_log.Put(item.job, {RecordKind::kTombstone}, "");
+  switch (item.name.kind) {
+    case RecordKind::kProgress:
+      return m_log.Put(item.job, item.name, EncodeProgressRecord(*job));
+    case RecordKind::kOccurrence: {
+      const auto found = job->occurrences.find(item.name.occurrence);
+      if (found != job->occurrences.end()) m_log.Put(item.job, item.name, EncodeOccurrenceRecord(found->second));
+      return;
+    }
+    case RecordKind::kFinal:
+      return m_log.Put(item.job, item.name, EncodeFinalRecord(*job));
+    case RecordKind::kJob:
+    case RecordKind::kTombstone:
+      return m_log.Put(item.job, item.name, EncodeJobRecord(*job));
   }
-  m_log.Put(job.id, RecordKind::kProgress, EncodeProgressRecord(job));
 }
 
 bool Scheduler::HasNoProgress(const Job& job) {
   if (job.state != JobState::kPending || job.spec.repeat_count > 0) return false;
-  for (const StepState& step : job.occurrences.front().steps) {
+  for (const StepState& step : job.occurrences.begin()->second.steps) {
     const bool has_run =
         std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskState& task) { return task.run > 0; });
     if (has_run) return false;
@@ -190,10 +225,10 @@
 
 TaskState* Scheduler::FindTask(const TaskKey& key) {
   Job* job = FindJob(key.job);
-  if (job == nullptr || key.occurrence >= job->occurrences.size()) return nullptr;
-  Occurrence& occurrence = job->occurrences[key.occurrence];
-  if (key.step >= occurrence.steps.size()) return nullptr;
-  StepState& step = occurrence.steps[key.step];
+  if (job == nullptr) return nullptr;
+  const auto occurrence = job->occurrences.find(key.occurrence);
+  if (occurrence == job->occurrences.end() || key.step >= occurrence->second.steps.size()) return nullptr;
+  StepState& step = occurrence->second.steps[key.step];
   return key.index < step.tasks.size() ? &step.tasks[key.index] : nullptr;
 }
 
@@ -211,6 +246,15 @@
   m_mark_dirty();
 }
 
+void Scheduler::MarkChanged(Job& job, std::size_t occurrence) {
+  MarkChanged(job);
+  if (job.spec.repeat_count == 0) return;
+  std::uint64_t& unrecorded_since = job.occurrences.at(occurrence).unrecorded_since;
+  if (unrecorded_since > 0) return;
+  unrecorded_since = job.change;
+  job.unrecorded_occurrences.push_back(occurrence);
+}
+
 void Scheduler::WhenCommitted(Job& job, std::function<void()> action) {
   job.commit_callbacks.emplace_back(job.change, std::move(action));
 }
@@ -270,12 +314,13 @@
   if (--step.not_done > 0) return;
   step.tickets.clear();
   step.policy_decisions.clear();
-  Occurrence& occurrence = job.occurrences[key.occurrence];
+  Occurrence& occurrence = job.occurrences.at(key.occurrence);
   m_needs_placement = true;
   if (--occurrence.steps_left > 0) return;
   occurrence.is_done = true;
-  const bool is_complete = std::all_of(job.occurrences.begin(), job.occurrences.end(),
-                                       [](const Occurrence& other) { return other.is_done; });
+  const bool is_complete = job.next_occurrence == static_cast<std::size_t>(job.spec.occurrence_count()) &&
+                           std::all_of(job.occurrences.begin(), job.occurrences.end(),
+                                       [](const auto& other) { return other.second.is_done; });
   if (is_complete && !IsFinal(job.state)) EndJob(job, JobState::kCompleted);
 }
 
@@ -291,18 +336,31 @@
 }
 
 bool Scheduler::OpenDueOccurrences(Job& job) {
-  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-    Occurrence& occurrence = job.occurrences[k];
-    if (occurrence.is_done || !occurrence.steps.empty()) continue;
-    if (job.spec.repeat_count > 0) {
-      const std::int64_t due = job.spec.start_at_unix_ms + static_cast<std::int64_t>(k) * job.spec.interval_ms;
-      if (m_leadership.unix_now_ms < due) return false;
-    }
-    OpenOccurrence(job, k);
+  while (job.next_occurrence < static_cast<std::size_t>(job.spec.occurrence_count())) {
+    if (!IsNextOccurrenceDue(job) || !MayOpenOccurrence(job)) return false;
+    const std::size_t number = job.next_occurrence;
+    OpenOccurrence(job, number);
     m_needs_placement = true;
-    MarkChanged(job);
+    MarkChanged(job, number);
   }
   return true;
 }
 
+bool Scheduler::IsNextOccurrenceDue(const Job& job) const {
+  if (job.spec.repeat_count == 0) return true;
+  const std::int64_t elapsed_ms = m_leadership.unix_now_ms - job.spec.start_at_unix_ms;
+  if (elapsed_ms < 0) return false;
+  // A division, as the product with the number of the occurrence could overflow.
+  return job.spec.interval_ms == 0 ||
+         job.next_occurrence <= static_cast<std::size_t>(elapsed_ms / job.spec.interval_ms);
+}
+
+bool Scheduler::MayOpenOccurrence(const Job& job) {
+  if (job.occurrences.empty()) return true;
+  std::int64_t tasks = 0;
+  for (const StepSpec& step : job.spec.steps) tasks += step.task_count;
+  const std::size_t open = job.occurrences.size();
+  return open < kMaxOpenOccurrences && static_cast<std::int64_t>(open + 1) * tasks <= kMaxOpenTasks;
+}
+
 }  // namespace jaymast
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -123,9 +123,11 @@
   // scheduler.cc
   Job* FindJob(const JobId& id);
   TaskState* FindTask(const TaskKey& key);
-  StepState& StepOf(Job& job, const TaskKey& key) { return job.occurrences[key.occurrence].steps[key.step]; }
+  static StepState& StepOf(Job& job, const TaskKey& key) { return job.occurrences.at(key.occurrence).steps[key.step]; }
   const QueueConfig* QueueOf(const Job& job) const;
   void MarkChanged(Job& job);
+  /// Like MarkChanged(job), for a change that the record of one occurrence shows.
+  void MarkChanged(Job& job, std::size_t occurrence);
   /// Calls `action` once all changes of the job up to now are committed.
   void WhenCommitted(Job& job, std::function<void()> action);
   void AllocateCapacity(Job& job, const TaskKey& key, TaskState& task, const UpstreamId& upstream);
@@ -133,12 +135,20 @@
   void SetObjective(Job& job);
   void FinishTask(Job& job, const TaskKey& key, TaskState& task);
   void EndJob(Job& job, JobState state);
-  /// Creates the steps of the occurrences that are due.
-  /// @return whether all occurrences of the job are open
+  /// Opens the occurrences that are due, as far as the job may have more tasks open.
+  /// @return whether no occurrence of the job remains to be opened
   bool OpenDueOccurrences(Job& job);
+  bool IsNextOccurrenceDue(const Job& job) const;
+  /// Whether the job may open one more occurrence.
+  static bool MayOpenOccurrence(const Job& job);
   static bool HasNoProgress(const Job& job);
-  /// Adds the changes of a job to the next transaction.
-  void PutRecords(Job& job);
+  /// Adds the changes of a job to the next transaction, up to its size limit.
+  /// @return number of the last change that the records of the job show
+  std::uint64_t PutRecords(Job& job);
+  /// Adds the records of changed occurrences of a scheduled job, and discards the occurrences that have ended.
+  void PutOccurrences(Job& job);
+  /// Adds a current record again, so that its row can be removed.
+  void CompactRecord(const RecordLog::RecordRef& item);
 
   // scheduler_clients.cc
   void Decide(const ClientCall& call, const ClientReplyFunction& reply);
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -1,6 +1,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdlib>
+#include <string>
 #include <utility>
 
 #include "cell/scheduler.h"
@@ -17,8 +19,46 @@
 constexpr Duration kAdoptionTime{1'000'000};
 /// The end of an outage is unknown. Clients wait 3 s in all, and a longer delay would use up most of that time.
 constexpr std::int64_t kStoreRetryAfterS = 1;
-/// The progress of a job fits into one row of 64 KiB: a task takes up to 60 bytes.
-constexpr std::int64_t kMaxTasksOfJob = 1'000;
+/// The progress of an occurrence fits into a record: a task on an upstream with the longest ID takes about 230 bytes.
+constexpr std::int64_t kMaxTasksOfOccurrence = 1'000;
+/// Bound of times in ms, the largest integer that all JSON implementations represent exactly.
+constexpr std::int64_t kMaxScheduleMs = std::int64_t{1} << 53U;
+
+ClientReply MalformedReply(std::string reason) {
+  ClientReply reply;
+  reply.outcome = ClientOutcome::kMalformed;
+  reply.reason = std::move(reason);
+  return reply;
+}
+
+/// Returns why no job with this specification can be accepted, or an empty text.
+std::string FindDefect(const JobSpec& spec) {
+  if (spec.steps.empty()) return "the job has no steps";
+  std::int64_t tasks = 0;
+  for (std::size_t s = 0; s < spec.steps.size(); ++s) {
+    const StepSpec& step = spec.steps[s];
+    if (step.task_count < 1 || step.task_count > kMaxTasksOfOccurrence) {
+      return fmt::format("step {} has {} tasks; 1 to {} are allowed", s, step.task_count, kMaxTasksOfOccurrence);
+    }
+    tasks += step.task_count;
+    for (const std::size_t dependency : step.dependencies) {
+      if (dependency >= spec.steps.size() || dependency == s) {
+        return fmt::format("step {} depends on step {}; the job has {} steps", s, dependency, spec.steps.size());
+      }
+    }
+  }
+  if (tasks > kMaxTasksOfOccurrence) {
+    return fmt::format("the steps have {} tasks in all; the limit is {}", tasks, kMaxTasksOfOccurrence);
+  }
+  if (std::abs(spec.start_at_unix_ms) > kMaxScheduleMs) {
+    return fmt::format("the first occurrence is due at {} ms; the limit is {}", spec.start_at_unix_ms, kMaxScheduleMs);
+  }
+  if (spec.interval_ms < 0 || spec.interval_ms > kMaxScheduleMs) {
+    return fmt::format("the interval of the occurrences is {} ms; 0 to {} are allowed", spec.interval_ms,
+                       kMaxScheduleMs);
+  }
+  return "";
+}
 
 }  // namespace
 
@@ -91,17 +131,8 @@
 
 void Scheduler::Submit(const ClientCall& call, const QueueConfig& queue, const JobId& id, const TeamId& team,
                        const ClientReplyFunction& reply) {
-  if (!call.spec || call.spec->steps.empty()) return reply({ClientOutcome::kMalformed});
-  std::int64_t tasks = 0;
-  for (std::size_t s = 0; s < call.spec->steps.size(); ++s) {
-    const StepSpec& step = call.spec->steps[s];
-    if (step.task_count < 1 || step.task_count > kMaxTasksOfJob) return reply({ClientOutcome::kMalformed});
-    tasks += step.task_count;
-    if (tasks > kMaxTasksOfJob) return reply({ClientOutcome::kMalformed});
-    for (const std::size_t dependency : step.dependencies) {
-      if (dependency >= call.spec->steps.size() || dependency == s) return reply({ClientOutcome::kMalformed});
-    }
-  }
+  if (!call.spec) return reply(MalformedReply(""));
+  if (const std::string defect = FindDefect(*call.spec); !defect.empty()) return reply(MalformedReply(defect));
   Job job;
   job.id = id;
   job.queue = queue.id;
@@ -110,7 +141,12 @@
   job.spec = *call.spec;
   job.accepted = m_now;
   job.recorded_at_ms = m_leadership.store_now_ms;
-  job.occurrences.resize(static_cast<std::size_t>(job.spec.occurrence_count()));
+  const std::size_t record_bytes = EncodeJobRecord(job).size();
+  if (record_bytes > kMaxRecordBytes) {
+    const std::string reason = fmt::format("the job takes {} bytes; the limit is {}", record_bytes, kMaxRecordBytes);
+    m_ports.events.Emit("job.refused", {{"job", id.value()}, {"reason", reason}});
+    return reply(MalformedReply(reason));
+  }
   SetObjective(job);
 
   AdmissionLoad load;
@@ -125,7 +161,7 @@
       const Job& other = *entry;
       const QueueConfig* other_queue = QueueOf(other);
       if (other_queue == nullptr || other_queue->priority > queue.priority || m_now > other.hard_deadline) continue;
-      for (const Occurrence& occurrence : other.occurrences) {
+      for (const auto& [number, occurrence] : other.occurrences) {
         for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
           const StepSpec& step = other.spec.steps[s];
           load.queued_cores += static_cast<double>(occurrence.steps[s].waiting * step.demand.cpu_millis) / 1000.0;
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -29,7 +29,7 @@
   task.send_attempts = 0;
   --step.waiting;
   AllocateCapacity(job, key, task, upstream);
-  MarkChanged(job);
+  MarkChanged(job, key.occurrence);
   WhenCommitted(job, [this, key, run = task.run] { SendStart(key, run); });
 }
 
@@ -153,7 +153,7 @@
                                           {"upstream", task.upstream.value()},
                                           {"reason", std::string(reason)}});
   ReleaseCapacity(job, key, task);
-  MarkChanged(job);
+  MarkChanged(job, key.occurrence);
 }
 
 void Scheduler::Fence(UpstreamState& upstream, std::uint64_t order_token) {
@@ -177,7 +177,7 @@
                                     {"reason", std::string(reason)}});
   task.phase = TaskPhase::kStopping;
   task.confirmed_at = Time::max();
-  MarkChanged(job);
+  MarkChanged(job, key.occurrence);
   task.stop_retry_at = m_now + kStopRetryDelay;
   UpstreamState& upstream = m_upstreams[task.upstream];
   upstream.next_stop = std::min(upstream.next_stop, task.stop_retry_at);
@@ -198,9 +198,9 @@
 }
 
 void Scheduler::StopAll(Job& job, std::string_view reason) {
-  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-    for (std::size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
-      StepState& step = job.occurrences[k].steps[s];
+  for (auto& [k, occurrence] : job.occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      StepState& step = occurrence.steps[s];
       for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         StopTask(job, TaskKey{job.id, k, s, i}, step.tasks[i], reason);
       }
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -59,14 +59,15 @@
   m_reserved_upstreams.clear();
   std::vector<StepRef> refs;
   if (m_config == nullptr) return;
-  for (const auto& [id, entry] : m_active) {
-    Job& job = *entry;
+  for (const auto& [id, active] : m_active) {
+    Job& job = *active;
     const QueueConfig* queue = nullptr;
     const Urgency by_time = m_now < job.objective
                                 ? Urgency::kTimely
                                 : (m_now < job.hard_deadline ? Urgency::kLate : Urgency::kPastDeadline);
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-      Occurrence& occurrence = job.occurrences[k];
+    for (auto& entry : job.occurrences) {
+      const std::size_t k = entry.first;
+      Occurrence& occurrence = entry.second;
       if (occurrence.is_done) continue;
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         if (occurrence.steps[s].waiting == 0) continue;
@@ -148,7 +149,7 @@
 std::vector<UpstreamState*> Scheduler::FindCandidates(const StepRef& ref) {
   const QueueConfig& queue = *QueueOf(*ref.job);
   const StepSpec& spec = ref.job->spec.steps[ref.step];
-  StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   std::vector<UpstreamState*> candidates;
   if (!queue.policy) {
     for (const auto& [free_cpu, upstream] : m_by_free_cpu) {
@@ -171,7 +172,7 @@
 }
 
 void Scheduler::PlaceStep(const StepRef& ref) {
-  StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   const std::vector<UpstreamState*> candidates = FindCandidates(ref);
   if (spec.is_gang) {
@@ -205,7 +206,7 @@
   std::stable_sort(slots.begin(), slots.end(), [](const auto& a, const auto& b) {
     return a.second->FreeCapacity().cpu_millis < b.second->FreeCapacity().cpu_millis;
   });
-  ShareCheckpoint(ref.job->occurrences[ref.occurrence].steps[ref.step]);
+  ShareCheckpoint(ref.job->occurrences.at(ref.occurrence).steps[ref.step]);
   std::size_t index = 0;
   for (const auto& [count, upstream] : slots) {
     for (std::int64_t i = 0; i < count && index < static_cast<std::size_t>(spec.task_count); ++i, ++index) {
@@ -229,7 +230,7 @@
 
 void Scheduler::PlaceTasks(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
   const StepSpec& spec = ref.job->spec.steps[ref.step];
-  StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   Resources team_free_capacity = TeamFreeCapacity(ref.job->team);
   for (std::size_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
     TaskState& task = step.tasks[i];
@@ -275,7 +276,7 @@
 }
 
 std::vector<UpstreamId> Scheduler::ChooseUpstreamsToRequest(const StepRef& ref, const QueueConfig& queue) {
-  const StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  const StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   const double factor = spec.is_gang ? kRequestedCapacityFactorGang : kRequestedCapacityFactor;
   double needed = static_cast<double>(step.waiting) * factor;
@@ -321,7 +322,7 @@
 }
 
 void Scheduler::RequestTickets(const StepRef& ref, const QueueConfig& queue) {
-  StepState& step = ref.job->occurrences[ref.occurrence].steps[ref.step];
+  StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   if (step.open_policy_calls > 0 || m_now < step.next_policy_call_at) return;
   const PolicyConfig& policy_config = *queue.policy;
   if (!m_policy_calls.CanCall(static_cast<std::int64_t>(policy_config.call_ms), m_now)) return;
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -294,7 +294,7 @@
                                       {"upstream", upstream.listing.id.value()},
                                       {"how", std::string(ToString(row.kind))}});
   }
-  MarkChanged(*job);
+  MarkChanged(*job, row.task.occurrence);
   WhenCommitted(*job, [this, id = upstream.listing.id, number = row.number, ended_incarnation = upstream.incarnation] {
     UpstreamState* state = FindUpstream(id);
     if (state == nullptr || state->incarnation != ended_incarnation) return;
@@ -370,7 +370,7 @@
   } else if (is_gang) {
     AbortGang(*job, key, "member was lost");
   }
-  MarkChanged(*job);
+  MarkChanged(*job, key.occurrence);
 }
 
 void Scheduler::StopStalledRuns(UpstreamState& upstream) {
--- a/src/cell_testing/cell_checks.h
+++ b/src/cell_testing/cell_checks.h
@@ -13,6 +13,7 @@
 inline constexpr int kState = static_cast<int>(ClientOutcome::kState);
 inline constexpr int kCancelled = static_cast<int>(ClientOutcome::kCancelled);
 inline constexpr int kUnknownKey = static_cast<int>(ClientOutcome::kUnknownKey);
+inline constexpr int kMalformed = static_cast<int>(ClientOutcome::kMalformed);
 inline constexpr int kNoSuchJob = static_cast<int>(ClientOutcome::kNoSuchJob);
 
 /// State of a job as reported by an instance.
--- a/src/cell_testing/fake_store.h
+++ b/src/cell_testing/fake_store.h
@@ -24,6 +24,10 @@
     const std::int64_t version = found == m_rows.end() ? 0 : found->second.version;
     StateCommitReply reply;
     reply.now_ms = ToMillis(m_queue.now().time_since_epoch());
+    if (ExceedsLimits(transaction)) {
+      ++rejected_transactions;
+      return reply;
+    }
     if (version != transaction.guard_version) {
       reply.status = StateStatus::kConflict;
       if (found != m_rows.end()) reply.guard = found->second;
@@ -62,11 +66,27 @@
 
   /// Rows of a page; small, so that tests read several pages.
   static constexpr std::size_t kPageRows = 20;
+  /// Limits of the platform's store. A transaction beyond them is rejected.
+  static constexpr std::size_t kMaxRowBytes = 65'536;
+  static constexpr std::size_t kMaxTransactionRows = 100;
+  static constexpr std::size_t kMaxTransactionBytes = 1'000'000;
 
   int transactions = 0;
   int writes = 0;  ///< rows written or deleted, except the leader row
+  int rejected_transactions = 0;
 
  private:
+  static bool ExceedsLimits(const StateTransaction& transaction) {
+    if (transaction.writes.size() > kMaxTransactionRows) return true;
+    std::size_t encoded_bytes = 0;
+    for (const StateWrite& write : transaction.writes) {
+      if (!write.value) continue;
+      if (write.value->size() > kMaxRowBytes) return true;
+      encoded_bytes += (write.value->size() + 2) / 3 * 4;  // base64
+    }
+    return encoded_bytes > kMaxTransactionBytes;
+  }
+
   EventQueue& m_queue;
   std::int64_t m_version = 0;
   std::map<std::pair<std::string, std::string>, StateRow> m_rows;
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -48,6 +48,9 @@
         step.dependencies = {static_cast<std::size_t>(i - 1)};
         spec.steps.push_back(step);
       }
+      spec.repeat_count = number("repeat", 0);
+      spec.start_at_unix_ms = number("start", 0);
+      spec.interval_ms = number("interval", 0);
       call.spec = std::move(spec);
     } else if (request.method == "DELETE") {
       call.action = ClientAction::kCancel;
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -1,5 +1,7 @@
 #include "instance/cell_term.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -99,28 +101,53 @@
   std::optional<std::vector<LogRecord>> records = DecodeLogRow(row.value);
   if (!records) return m_events.Emit("record.unreadable", {{"path", row.table + "/" + row.key}});
   m_scheduler.LoadRow(row, *records);
-  for (LogRecord& record : *records) {
+  for (const LogRecord& record : *records) {
     LoadedJob& loaded = m_loaded_jobs[record.job];
-    if (record.kind == RecordKind::kProgress) {
-      loaded.progress = std::move(record.text);
-    } else {
-      loaded.job = std::move(record);
+    switch (record.name.kind) {
+      case RecordKind::kProgress:
+        loaded.progress.Add(record.piece, record.text);
+        break;
+      case RecordKind::kOccurrence:
+        loaded.occurrences[record.name.occurrence].Add(record.piece, record.text);
+        break;
+      case RecordKind::kJob:
+      case RecordKind::kFinal:
+      case RecordKind::kTombstone:
+        loaded.kind = record.name.kind;
+        loaded.job.Add(record.piece, record.text);
+        if (loaded.kind == RecordKind::kJob) break;
+        // The ID of an ended job may be used again, for a job without progress yet.
+        loaded.progress = {};
+        loaded.occurrences.clear();
+        break;
     }
   }
 }
 
 void CellTerm::AddJob(const JobId& id, const LoadedJob& loaded, std::int64_t store_now_ms) {
-  if (loaded.job.kind == RecordKind::kTombstone) return;
+  if (loaded.kind == RecordKind::kTombstone) return;
   Result<Job> job = DecodeJobRecord(id, loaded.job.text);
   if (!job) return m_events.Emit("record.unreadable", {{"path", job.error().path}, {"reason", job.error().reason}});
-  const bool has_progress = loaded.job.kind == RecordKind::kJob && !loaded.progress.empty();
-  if (has_progress && !ApplyProgressRecord(loaded.progress, *job)) {
-    return m_events.Emit("record.unreadable", {{"path", "progress of " + id.value()}});
-  }
+  const bool has_progress = loaded.kind == RecordKind::kJob && !loaded.progress.text.empty();
+  if (has_progress && !ApplyProgress(loaded, *job)) return;
   const std::int64_t age_ms = std::max<std::int64_t>(0, store_now_ms - job->recorded_at_ms);
   m_scheduler.LoadJob(std::move(*job), age_ms);
 }
 
+bool CellTerm::ApplyProgress(const LoadedJob& loaded, Job& job) {
+  if (!ApplyProgressRecord(loaded.progress.text, job)) {
+    m_events.Emit("record.unreadable", {{"path", "progress of " + job.id.value()}});
+    return false;
+  }
+  for (const auto& [number, record] : loaded.occurrences) {
+    // Records of occurrences that have ended remain until their rows are removed.
+    if (!job.occurrences.contains(number) || ApplyOccurrenceRecord(record.text, job, number)) continue;
+    m_events.Emit("record.unreadable", {{"path", fmt::format("occurrence {} of {}", number, job.id.value())}});
+    return false;
+  }
+  return true;
+}
+
 void CellTerm::FinishJobs(std::int64_t store_now_ms) {
   for (const auto& [id, loaded] : m_loaded_jobs) AddJob(id, loaded, store_now_ms);
   m_events.Emit("term.jobs_loaded", {{"jobs", std::to_string(m_loaded_jobs.size())}});
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -52,14 +52,18 @@
  private:
   /// Latest records of a job in the rows read so far.
   struct LoadedJob {
-    LogRecord job;
-    std::string progress;
+    RecordKind kind = RecordKind::kJob;  ///< kind of `job`
+    RecordText job;
+    RecordText progress;
+    std::map<std::size_t, RecordText> occurrences;
   };
 
   void Load();
   void OnPage(const StateScanReply& reply);
   void OnRow(const StateRow& row);
   void AddJob(const JobId& id, const LoadedJob& loaded, std::int64_t store_now_ms);
+  /// Applies the progress and occurrence records. Emits an event and returns false if one is unreadable.
+  bool ApplyProgress(const LoadedJob& loaded, Job& job);
   void FinishJobs(std::int64_t store_now_ms);
   void CheckLoaded();
   /// Emits an event when the store stops responding and when it responds again.
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -88,11 +89,12 @@
   std::int32_t last_failed_gang_run = 0;  ///< highest run of the gang that was counted as failed
 };
 
-/// One execution of a job; a scheduled job has several.
+/// One execution of a job; a scheduled job has several. Exists from its due time until its end is recorded.
 struct Occurrence {
-  std::vector<StepState> steps;  ///< empty until the occurrence is due
-  std::int64_t steps_left = 0;   ///< steps that are not done
+  std::vector<StepState> steps;
+  std::int64_t steps_left = 0;  ///< steps that are not done
   bool is_done = false;
+  std::uint64_t unrecorded_since = 0;  ///< first change that the record of the occurrence lacks, 0 if it is current
 };
 
 /// A job and the state of its tasks.
@@ -104,8 +106,9 @@
   std::string call_id;  ///< of the call that submitted the job
   JobState state = JobState::kPending;
   JobState committed_state = JobState::kPending;  ///< the only state that clients see
-  std::vector<Occurrence> occurrences;
-  bool has_started = false;  ///< a task has been started
+  std::map<std::size_t, Occurrence> occurrences;  ///< open ones by number
+  std::size_t next_occurrence = 0;                ///< all lower numbers are open or done
+  bool has_started = false;                       ///< a task has been started
   Time accepted{};
   Time objective{};                 ///< latest completion that meets the latency objective
   Time hard_deadline{};             ///< latest completion whose result is of use
@@ -115,6 +118,8 @@
   std::uint64_t change = 0;
   std::uint64_t committed_change = 0;
   bool is_queued_for_commit = false;
+  /// Occurrences of a scheduled job whose records are out of date, in the order of their first missing change.
+  std::deque<std::size_t> unrecorded_occurrences;
   bool is_spec_recorded = false;
   bool is_final_recorded = false;
   std::vector<std::pair<std::uint64_t, std::function<void()>>> commit_callbacks;
--- a/src/jobs/job_record.cc
+++ b/src/jobs/job_record.cc
@@ -20,7 +20,6 @@
 
 /// Upper bound of counts and amounts in a record. Larger values are never written.
 constexpr std::int64_t kMaxAmount = std::int64_t{1} << 52;
-constexpr std::size_t kMaxTextBytes = std::size_t{64} * 1024;
 
 json::object EncodeStep(const StepSpec& step) {
   json::object out;
@@ -71,26 +70,37 @@
   step.is_speculative = bit(3);
   step.is_long_running = bit(4);
   step.uses_spare_cpu = bit(5);
-  step.required_label = reader.String("l", "", kMaxTextBytes);
-  step.preferred_rack = reader.String("r", "", kMaxTextBytes);
+  step.required_label = reader.String("l", "", kMaxRecordBytes);
+  step.preferred_rack = reader.String("r", "", kMaxRecordBytes);
   step.max_per_upstream = reader.Int("p", 0, 0, kMaxAmount);
-  step.image = reader.String("i", "", kMaxTextBytes);
+  step.image = reader.String("i", "", kMaxRecordBytes);
   step.latency_objective_ms = reader.Int("o", 0, 0, kMaxAmount);
   step.max_unavailable = reader.Int("u", 0, 0, kMaxAmount);
   if (reader.error()) return std::nullopt;
   return step;
 }
 
-json::array EncodeTask(const TaskState& task) {
+json::array EncodeTask(const TaskState& task, bool with_checkpoint) {
   json::array out;
   out.emplace_back(static_cast<std::int64_t>(task.phase));
   out.emplace_back(task.run);
   out.emplace_back(task.failures);
-  if (HasAllocation(task.phase) || !task.checkpoint.empty()) out.emplace_back(task.upstream.value());
-  if (!task.checkpoint.empty()) out.emplace_back(task.checkpoint);
+  const bool has_checkpoint = with_checkpoint && !task.checkpoint.empty();
+  if (HasAllocation(task.phase) || has_checkpoint) out.emplace_back(task.upstream.value());
+  if (has_checkpoint) out.emplace_back(task.checkpoint);
   return out;
 }
 
+json::array EncodeSteps(const Occurrence& occurrence, bool with_checkpoints) {
+  json::array steps;
+  for (const StepState& step : occurrence.steps) {
+    json::array tasks;
+    for (const TaskState& task : step.tasks) tasks.push_back(EncodeTask(task, with_checkpoints));
+    steps.push_back(json::array{step.is_gang_done, step.last_failed_gang_run, std::move(tasks)});
+  }
+  return steps;
+}
+
 bool DecodeTask(const json::value& value, TaskState& task) {
   if (!value.is_array()) return false;
   const json::array& row = value.get_array();
@@ -105,6 +115,47 @@
   return true;
 }
 
+bool DecodeSteps(const json::array& rows, const std::vector<StepSpec>& specs, Occurrence& occurrence,
+                 bool& has_started) {
+  if (rows.size() != specs.size()) return false;
+  for (std::size_t s = 0; s < specs.size(); ++s) {
+    const json::value& step_row = rows[s];
+    StepState& step = occurrence.steps[s];
+    if (!step_row.is_array() || step_row.get_array().size() != 3) return false;
+    const json::array& parts = step_row.get_array();
+    if (!parts[0].is_bool() || !parts[1].is_int64() || !parts[2].is_array()) return false;
+    step.is_gang_done = parts[0].get_bool();
+    step.last_failed_gang_run = static_cast<std::int32_t>(parts[1].get_int64());
+    if (parts[2].get_array().size() != step.tasks.size()) return false;
+    step.waiting = 0;
+    step.not_done = 0;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+      if (!DecodeTask(parts[2].get_array()[i], step.tasks[i])) return false;
+      if (step.tasks[i].run > 0) has_started = true;
+      if (step.tasks[i].phase == TaskPhase::kWaiting) ++step.waiting;
+      if (step.tasks[i].phase != TaskPhase::kDone) ++step.not_done;
+    }
+    if (step.not_done == 0) --occurrence.steps_left;
+  }
+  return true;
+}
+
+/// Decodes the field "o": for each occurrence 0 before it is due, 1 after its end, and its steps in between. Earlier
+/// versions wrote it for scheduled jobs, too.
+bool DecodeOccurrences(const json::array& rows, Job& job) {
+  if (rows.size() > static_cast<std::size_t>(job.spec.occurrence_count())) return false;
+  for (std::size_t k = 0; k < rows.size(); ++k) {
+    const bool is_unopened = rows[k].is_int64() && rows[k].get_int64() == 0;
+    if (is_unopened) return true;
+    job.next_occurrence = k + 1;
+    if (rows[k].is_int64()) continue;
+    if (!rows[k].is_array()) return false;
+    OpenOccurrence(job, k);
+    if (!DecodeSteps(rows[k].get_array(), job.spec.steps, job.occurrences.at(k), job.has_started)) return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string EncodeJobRecord(const Job& job) {
@@ -133,7 +184,7 @@
 }
 
 bool HasAnyAllocation(const Job& job) {
-  for (const Occurrence& occurrence : job.occurrences) {
+  for (const auto& [number, occurrence] : job.occurrences) {
     for (const StepState& step : occurrence.steps) {
       const bool holds = std::any_of(step.tasks.begin(), step.tasks.end(),
                                      [](const TaskState& task) { return HasAllocation(task.phase); });
@@ -149,27 +200,34 @@
   json::object out;
   out["s"] = ToString(job.state);
   out["b"] = job.has_started;
-  json::array occurrences;
-  const bool is_settled = IsSettled(job);
-  for (const Occurrence& occurrence : job.occurrences) {
-    if (is_settled || occurrence.is_done) {
-      occurrences.emplace_back(1);
-      continue;
-    }
-    if (occurrence.steps.empty()) {
-      occurrences.emplace_back(0);
-      continue;
-    }
-    json::array steps;
-    for (const StepState& step : occurrence.steps) {
-      json::array tasks;
-      for (const TaskState& task : step.tasks) tasks.push_back(EncodeTask(task));
-      steps.push_back(json::array{step.is_gang_done, step.last_failed_gang_run, std::move(tasks)});
-    }
-    occurrences.push_back(std::move(steps));
+  json::array open;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    if (!occurrence.is_done) open.emplace_back(number);
   }
-  out["o"] = std::move(occurrences);
-  return json::serialize(out);
+  if (job.spec.repeat_count > 0) {
+    out["n"] = job.next_occurrence;
+    out["open"] = std::move(open);
+    return json::serialize(out);
+  }
+  const auto encode = [&](bool with_checkpoints) {
+    json::array occurrences;
+    for (const auto& [number, occurrence] : job.occurrences) {
+      const bool is_over = IsSettled(job) || occurrence.is_done;
+      occurrences.push_back(is_over ? json::value(1) : json::value(EncodeSteps(occurrence, with_checkpoints)));
+    }
+    out["o"] = std::move(occurrences);
+    return json::serialize(out);
+  };
+  std::string text = encode(true);
+  return text.size() <= kMaxRecordBytes ? text : encode(false);
+}
+
+std::string EncodeOccurrenceRecord(const Occurrence& occurrence) {
+  const auto encode = [&occurrence](bool with_checkpoints) {
+    return json::serialize(json::object{{"steps", EncodeSteps(occurrence, with_checkpoints)}});
+  };
+  std::string text = encode(true);
+  return text.size() <= kMaxRecordBytes ? text : encode(false);
 }
 
 Result<Job> DecodeJobRecord(const JobId& id, std::string_view text) {
@@ -179,13 +237,13 @@
   FieldReader reader(*object, path);
   Job job;
   job.id = id;
-  job.queue = QueueId(reader.RequiredString("q", kMaxTextBytes));
-  job.team = TeamId(reader.String("t", "", kMaxTextBytes));
+  job.queue = QueueId(reader.RequiredString("q", kMaxRecordBytes));
+  job.team = TeamId(reader.String("t", "", kMaxRecordBytes));
   job.state = reader.Enum("s", JobState::kPending);
   job.committed_state = job.state;
   job.recorded_at_ms = reader.Int("at", 0, 0, kMaxAmount);
-  job.call_id = reader.String("c", "", kMaxTextBytes);
-  job.spec.payload = reader.String("p", "", kMaxTextBytes);
+  job.call_id = reader.String("c", "", kMaxRecordBytes);
+  job.spec.payload = reader.String("p", "", kMaxRecordBytes);
   if (const json::array* steps = reader.Array("steps")) {
     for (const json::value& step : *steps) {
       std::optional<StepSpec> decoded = DecodeStep(step);
@@ -204,7 +262,6 @@
   if (reader.error()) return *reader.error();
   job.is_spec_recorded = true;
   job.is_final_recorded = IsFinal(job.state);
-  if (!IsFinal(job.state)) job.occurrences.resize(static_cast<std::size_t>(job.spec.occurrence_count()));
   return job;
 }
 
@@ -215,47 +272,39 @@
   job.state = reader.Enum("s", JobState::kPending);
   job.committed_state = job.state;
   job.has_started = reader.Bool("b", false);
+  if (const json::array* open = reader.Array("open")) {
+    const std::int64_t next = reader.Int("n", 0, 0, job.spec.occurrence_count());
+    if (reader.error()) return false;
+    for (const json::value& number : *open) {
+      if (!number.is_int64() || number.get_int64() < 0 || number.get_int64() >= next) return false;
+      OpenOccurrence(job, static_cast<std::size_t>(number.get_int64()));
+    }
+    job.next_occurrence = static_cast<std::size_t>(next);
+    return true;
+  }
   const json::array* occurrences = reader.Array("o");
   if (reader.error() || occurrences == nullptr) return false;
   if (IsFinal(job.state) && occurrences->empty()) {
     job.occurrences.clear();
     return true;
   }
-  if (occurrences->size() != job.occurrences.size()) return false;
-  for (std::size_t k = 0; k < occurrences->size(); ++k) {
-    const json::value& row = (*occurrences)[k];
-    if (row.is_int64()) {
-      job.occurrences[k].is_done = row.get_int64() == 1;
-      continue;
-    }
-    if (!row.is_array() || row.get_array().size() != job.spec.steps.size()) return false;
-    OpenOccurrence(job, k);
-    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-      const json::value& step_row = row.get_array()[s];
-      StepState& step = job.occurrences[k].steps[s];
-      if (!step_row.is_array() || step_row.get_array().size() != 3) return false;
-      const json::array& parts = step_row.get_array();
-      if (!parts[0].is_bool() || !parts[1].is_int64() || !parts[2].is_array()) return false;
-      step.is_gang_done = parts[0].get_bool();
-      step.last_failed_gang_run = static_cast<std::int32_t>(parts[1].get_int64());
-      if (parts[2].get_array().size() != step.tasks.size()) return false;
-      step.waiting = 0;
-      step.not_done = 0;
-      for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-        if (!DecodeTask(parts[2].get_array()[i], step.tasks[i])) return false;
-        if (step.tasks[i].run > 0) job.has_started = true;
-        if (step.tasks[i].phase == TaskPhase::kWaiting) ++step.waiting;
-        if (step.tasks[i].phase != TaskPhase::kDone) ++step.not_done;
-      }
-      if (step.not_done == 0) --job.occurrences[k].steps_left;
-    }
-  }
-  return true;
+  return DecodeOccurrences(*occurrences, job);
+}
+
+bool ApplyOccurrenceRecord(std::string_view text, Job& job, std::size_t occurrence) {
+  const Result<json::object> object = ParseObject(text, "occurrence");
+  if (!object) return false;
+  FieldReader reader(*object, "occurrence");
+  const json::array* steps = reader.Array("steps");
+  const auto found = job.occurrences.find(occurrence);
+  return steps != nullptr && found != job.occurrences.end() &&
+         DecodeSteps(*steps, job.spec.steps, found->second, job.has_started);
 }
 
 void OpenOccurrence(Job& job, std::size_t occurrence) {
-  Occurrence& opened = job.occurrences.at(occurrence);
-  opened.steps.clear();
+  Occurrence& opened = job.occurrences[occurrence];
+  opened = Occurrence{};
+  job.next_occurrence = std::max(job.next_occurrence, occurrence + 1);
   opened.steps_left = static_cast<std::int64_t>(job.spec.steps.size());
   for (const StepSpec& spec : job.spec.steps) {
     StepState step;
--- a/src/jobs/job_record_test.cc
+++ b/src/jobs/job_record_test.cc
@@ -28,7 +28,6 @@
   second.checkpoints = true;
   second.max_per_upstream = 2;
   job.spec.steps = {first, second};
-  job.occurrences.resize(1);
   OpenOccurrence(job, 0);
   return job;
 }
@@ -93,10 +92,58 @@
   EXPECT_EQ(again->state, JobState::kCancelled);
 }
 
+// Guards against occurrences of a scheduled job that a new leader opens again, forgets or never opens.
+TEST(JobRecordTest, OpenOccurrencesRoundTrip) {
+  Job job = ExampleJob();
+  job.spec.repeat_count = std::int64_t{1} << 53;
+  job.state = JobState::kRunning;
+  OpenOccurrence(job, 1);
+  OpenOccurrence(job, 2);
+  job.occurrences.at(1).is_done = true;
+  job.occurrences.at(2).steps[1].tasks[2].run = 7;
+  Result<Job> read = DecodeJobRecord(job.id, EncodeJobRecord(job));
+  ASSERT_TRUE(read) << read.error().path;
+  ASSERT_TRUE(ApplyProgressRecord(EncodeProgressRecord(job), *read));
+  EXPECT_EQ(read->next_occurrence, 3U);
+  ASSERT_EQ(read->occurrences.size(), 2U);
+  ASSERT_TRUE(ApplyOccurrenceRecord(EncodeOccurrenceRecord(job.occurrences.at(2)), *read, 2));
+  EXPECT_EQ(read->occurrences.at(2).steps[1].tasks[2].run, 7);
+  EXPECT_FALSE(ApplyOccurrenceRecord(EncodeOccurrenceRecord(job.occurrences.at(1)), *read, 1)) << "has ended";
+}
+
+// Guards against progress of scheduled jobs that an instance of an earlier version wrote in one record.
+TEST(JobRecordTest, ProgressOfEarlierVersionIsRead) {
+  Job job;
+  job.id = JobId("job1");
+  job.spec.steps.resize(1);
+  job.spec.repeat_count = 4;
+  ASSERT_TRUE(ApplyProgressRecord(R"({"s":"running","b":true,"o":[1,[[false,0,[[3,1,0,"u1"]]]],0,0]})", job));
+  EXPECT_EQ(job.next_occurrence, 2U);
+  ASSERT_EQ(job.occurrences.size(), 1U);
+  EXPECT_EQ(job.occurrences.at(1).steps[0].tasks[0].upstream, UpstreamId("u1"));
+}
+
+// Guards against a record above the size that a transaction carries.
+TEST(JobRecordTest, CheckpointsThatExceedTheRecordAreOmitted) {
+  Job job;
+  job.spec.steps.resize(1);
+  job.spec.steps[0].task_count = 1'000;
+  OpenOccurrence(job, 0);
+  for (TaskState& task : job.occurrences.at(0).steps[0].tasks) {
+    task.phase = TaskPhase::kRunning;
+    task.upstream = UpstreamId(std::string(200, 'u'));
+    task.checkpoint = std::string(100, 'c');
+  }
+  EXPECT_LE(EncodeProgressRecord(job).size(), kMaxRecordBytes);
+  EXPECT_LE(EncodeOccurrenceRecord(job.occurrences.at(0)).size(), kMaxRecordBytes);
+  EXPECT_TRUE(ApplyProgressRecord(EncodeProgressRecord(job), job));
+}
+
 // Guards against a crash on bytes that another version wrote.
 RC_GTEST_PROP(JobRecordTest, ArbitraryBytesAreDecodedOrRejected, (const std::string& text)) {
   Job job = ExampleJob();
   ApplyProgressRecord(text, job);
+  ApplyOccurrenceRecord(text, job, 0);
   DecodeJobRecord(job.id, text);
   ParseTaskKey(text);
 }
