Reserve upstreams only for gangs that will fit on them

Callers saw: one accepted gang that no upstream can hold kept accepted jobs of all organisations with a later objective or a lower priority from starting, on an empty cell, until its objective.

Cause: ReserveUpstreams adds upstreams until their slots suffice for the gang, and also added upstreams that have no slot for a member. The same was the case for a gang with more members than all upstreams hold, for one that waits for the limit of its organisation, and for one that lacks capacity because of long-running tasks.

Ruled out: tickets and queue order; the tests have one queue without a policy.

Change: nothing is reserved unless the gang fits on the usable upstreams without their other work, long-running tasks excepted, and its organisation's limit admits it now. Upstreams without a slot for a member are never reserved.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -264,6 +264,7 @@
   const StepSpec& spec = job.spec.steps[key.step];
   m_team_usage[job.team] += spec.demand;
   state.allocated += spec.allocated_resources();
+  if (spec.is_long_running) state.allocated_to_long_running += spec.allocated_resources();
   state.tasks.push_back(key);
   task.upstream = upstream;
 }
@@ -273,6 +274,7 @@
   const StepSpec& spec = job.spec.steps[key.step];
   m_team_usage[job.team] -= spec.demand;
   state.allocated -= spec.allocated_resources();
+  if (spec.is_long_running) state.allocated_to_long_running -= spec.allocated_resources();
   const auto found = std::find(state.tasks.begin(), state.tasks.end(), key);
   if (found != state.tasks.end()) {
     *found = state.tasks.back();
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -221,6 +221,8 @@
   bool CanRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const;
   std::int64_t CountSlots(const StepRef& ref, const UpstreamState& upstream, const Resources& free_capacity) const;
   void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
+  /// Whether the gang will fit on the usable upstreams once their other work has ended, except long-running tasks.
+  bool CanFitLater(const StepRef& ref) const;
   void RequestTickets(const StepRef& ref, const QueueConfig& queue);
   /// Upstreams for which a step should request tickets: with free capacity first, none if its tickets are sufficient.
   std::vector<UpstreamId> ChooseUpstreamsToRequest(const StepRef& ref, const QueueConfig& queue);
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -51,6 +51,12 @@
   return true;
 }
 
+/// Demand of all tasks of a step.
+Resources TotalDemand(const StepSpec& spec) {
+  const Resources& one = spec.demand;
+  return {one.cpu_millis * spec.task_count, one.memory_mb * spec.task_count, one.accelerators * spec.task_count, 0};
+}
+
 }  // namespace
 
 void Scheduler::PlaceWaitingSteps() {
@@ -189,10 +195,7 @@
 bool Scheduler::PlaceGang(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   const Resources team_free_capacity = TeamFreeCapacity(ref.job->team);
-  const Resources& one = spec.demand;
-  const Resources total_demand{one.cpu_millis * spec.task_count, one.memory_mb * spec.task_count,
-                               one.accelerators * spec.task_count, 0};
-  if (!total_demand.FitsIn(team_free_capacity)) return false;
+  if (!TotalDemand(spec).FitsIn(team_free_capacity)) return false;
   std::vector<std::pair<std::int64_t, UpstreamState*>> slots;
   std::int64_t total = 0;
   for (UpstreamState* upstream : candidates) {
@@ -263,6 +266,7 @@
   if (m_reserved_upstreams.size() >= candidates.size() + kMaxReservingGangs * kMinRequestedUpstreams) return;
   if (ref.urgency > Urgency::kTimely || m_now - ref.job->accepted < kReservationDelay) return;
   const StepSpec& spec = ref.job->spec.steps[ref.step];
+  if (!TotalDemand(spec).FitsIn(TeamFreeCapacity(ref.job->team)) || !CanFitLater(ref)) return;
   std::vector<UpstreamState*> ordered = candidates;
   std::stable_sort(ordered.begin(), ordered.end(), [](const auto* a, const auto* b) {
     return a->FreeCapacity().cpu_millis > b->FreeCapacity().cpu_millis;
@@ -270,11 +274,28 @@
   std::int64_t reserved_slots = 0;
   for (const UpstreamState* upstream : ordered) {
     if (reserved_slots >= spec.task_count) return;
-    reserved_slots += CountSlots(ref, *upstream, upstream->listing.capacity);
+    const std::int64_t slots = CountSlots(ref, *upstream, upstream->AttainableCapacity());
+    if (slots == 0) continue;
+    reserved_slots += slots;
     m_reserved_upstreams.insert(upstream->listing.id);
   }
 }
 
+bool Scheduler::CanFitLater(const StepRef& ref) const {
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  const StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
+  const QueueConfig& queue = *QueueOf(*ref.job);
+  std::int64_t slots = 0;
+  for (const auto& [free_cpu, upstream] : m_by_free_cpu) {
+    if (slots >= spec.task_count) break;
+    const auto decision = step.policy_decisions.find(upstream->listing.id);
+    const bool is_denied = decision != step.policy_decisions.end() && !decision->second;
+    if (is_denied || !CanRunOn(spec, queue, *upstream)) continue;
+    slots += CountSlots(ref, *upstream, upstream->AttainableCapacity());
+  }
+  return slots >= spec.task_count;
+}
+
 std::vector<UpstreamId> Scheduler::ChooseUpstreamsToRequest(const StepRef& ref, const QueueConfig& queue) {
   const StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   const StepSpec& spec = ref.job->spec.steps[ref.step];
--- a/src/cell/upstream_state.h
+++ b/src/cell/upstream_state.h
@@ -18,6 +18,7 @@
   bool is_listed = false;
   bool is_adopted = false;  ///< has replied to a sync with a fencing token of this epoch
   Resources allocated;      ///< capacity held by assigned tasks
+  Resources allocated_to_long_running;
   std::vector<TaskKey> tasks;
   std::int64_t incarnation = 0;  ///< of the last sync reply
 
@@ -54,6 +55,8 @@
   Time quarantined_until{};
 
   Resources FreeCapacity() const { return listing.capacity - allocated; }
+  /// Capacity that becomes free by itself.
+  Resources AttainableCapacity() const { return listing.capacity - allocated_to_long_running; }
 
   std::int64_t ClockMsAt(Time now) const { return clock_ms + ToMillis(now - clock_at); }
 
--- a/src/instance/cell_gang_test.cc
+++ b/src/instance/cell_gang_test.cc
@@ -89,5 +89,77 @@
   }
 }
 
+/// Upstreams with 8 cores each, and one more organisation.
+class WaitingGangTest : public testing::Test {
+ protected:
+  WaitingGangTest() : cluster(1, 4) {
+    cluster.config->teams[TeamId("other")] = TeamConfig{TeamId("other"), 1000, {}};
+    cluster.config->team_of_key["other"] = TeamId("other");
+    cluster.Run(seconds(2));
+  }
+
+  /// Submits work whose objective is later than that of a gang of 3 s, and expects it to start although the gang waits.
+  void ExpectLaterWorkStarts() {
+    cluster.Run(seconds(2));
+    cluster.Call(0, "POST", "later", "tasks=4 cpu=1000 ms=5000", "other");
+    cluster.Run(milliseconds(500));
+    EXPECT_EQ(cluster.LastStatus("POST later"), kAccepted);
+    EXPECT_EQ(CountStarts("later"), 4);
+    ExpectNoViolation(cluster);
+  }
+
+  int CountStarts(const std::string& job) const {
+    int starts = 0;
+    for (const auto& [task, count] : cluster.history.starts) starts += task.job == JobId(job) ? count : 0;
+    return starts;
+  }
+
+  SimulatedCluster cluster;
+};
+
+// Guards against reserving all upstreams for a gang whose members fit on none.
+TEST_F(WaitingGangTest, GangOfTooLargeMembersBlocksNoOtherWork) {
+  cluster.Call(0, "POST", "gang", "tasks=2 cpu=10000 ms=3000 gang");
+  ExpectLaterWorkStarts();
+}
+
+// Guards against reserving all upstreams for a gang with more members than fit on them together.
+TEST_F(WaitingGangTest, GangOfTooManyMembersBlocksNoOtherWork) {
+  cluster.Call(0, "POST", "gang", "tasks=5 cpu=8000 ms=3000 gang");
+  ExpectLaterWorkStarts();
+}
+
+// Guards against reserving upstreams for a gang that waits for the limit of its organisation, not for capacity.
+TEST_F(WaitingGangTest, GangAboveLimitOfOrganisationBlocksNoOtherWork) {
+  cluster.config->teams[TeamId("team")].limit.cpu_millis = 24'000;
+  cluster.config->version = 2;
+  cluster.Run(seconds(1));
+  cluster.Call(0, "POST", "gang", "tasks=4 cpu=8000 ms=3000 gang");
+  ExpectLaterWorkStarts();
+}
+
+// Guards against reserving the rest of upstreams on which long-running tasks leave no space for the gang.
+TEST_F(WaitingGangTest, GangBesideLongRunningTasksBlocksNoOtherWork) {
+  cluster.Call(0, "POST", "service", "tasks=4 cpu=5000 lasts");
+  cluster.Run(seconds(1));
+  cluster.Call(0, "POST", "gang", "tasks=4 cpu=6000 ms=3000 gang");
+  ExpectLaterWorkStarts();
+}
+
+// Guards against a gang that never gets the upstreams that it needs at the same time beside a stream of small tasks.
+TEST_F(WaitingGangTest, GangThatFitsGetsUpstreamsReserved) {
+  for (int i = 0; i < 32; ++i) {
+    cluster.Call(0, "POST", "first" + std::to_string(i), "tasks=1 cpu=1000 ms=" + std::to_string(1'000 + 60 * i));
+  }
+  cluster.Run(milliseconds(100));
+  cluster.Call(0, "POST", "gang", "tasks=4 cpu=8000 ms=3000 gang", "other");
+  for (int i = 0; i < 80; ++i) {
+    cluster.Run(milliseconds(100));
+    cluster.Call(0, "POST", "small" + std::to_string(i), "tasks=1 cpu=1000 ms=4000");
+  }
+  EXPECT_EQ(CountStarts("gang"), 4);
+  ExpectNoViolation(cluster);
+}
+
 }  // namespace
 }  // namespace jaymast
