Restart long-running tasks that end done

Callers saw: a long-running task that ended "done" was never started again, and its job was shown as completed although nobody had cancelled it.

Cause: OnEndedRun completes a task whose run ended "done" without regard to its step. A long-running task lasts until its job is cancelled, however its runs end.

Ruled out: the other ends, placement and the takeover.

Change: no end completes a task of a long-running step, also not the late end of a run that was marked as lost.

--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -257,10 +257,12 @@
   }
   const StepSpec& spec = job->spec.steps[row.task.step];
   StepState& step = StepOf(*job, row.task);
+  // A long-running task is started again however its run ends.
+  const bool completes_task = row.kind == EndKind::kDone && !spec.is_long_running;
   const bool is_current = task->run == row.run && task->upstream == upstream.listing.id && HasAllocation(task->phase);
   if (!is_current) {
     // A run that was marked as lost still completes its task, unless the task has been assigned again.
-    const bool counts = row.kind == EndKind::kDone && task->run == row.run && task->phase == TaskPhase::kWaiting &&
+    const bool counts = completes_task && task->run == row.run && task->phase == TaskPhase::kWaiting &&
                         !IsFinal(job->state);
     if (!counts) {
       upstream.ends[row.number] = true;
@@ -271,8 +273,8 @@
   KeepCheckpoint(*task, row.checkpoint);
   if (is_current) ReleaseCapacity(*job, row.task, *task);
   job->has_started = true;
-  if (row.kind == EndKind::kDone) {
-    upstream.consecutive_failures = 0;
+  if (row.kind == EndKind::kDone) upstream.consecutive_failures = 0;
+  if (completes_task) {
     if (spec.is_gang && !step.is_gang_done) {
       step.is_gang_done = true;
       for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -288,7 +290,7 @@
     OnFailedRun(*job, row.task, *task, upstream);
   }
   if (spec.is_gang && !step.is_gang_done) StopUnconfirmedMembers(*job, row.task);
-  if (row.kind != EndKind::kDone) {
+  if (!completes_task) {
     m_ports.events.Emit("run.ended", {{"task", FormatTaskKey(row.task)},
                                       {"run", std::to_string(row.run)},
                                       {"upstream", upstream.listing.id.value()},
--- a/src/cell_testing/fake_upstream.h
+++ b/src/cell_testing/fake_upstream.h
@@ -28,13 +28,15 @@
   std::vector<std::string> violations;
 };
 
-/// Behaviour of a task, given by its payload: "ms=<run time>", "cpu=<thousandths of a core>", and "fails" or "hangs".
+/// Behaviour of a task, given by its payload: "ms=<run time>", "cpu=<thousandths of a core>", and "fails", "hangs" or
+/// "lasts".
 struct FakeWork {
   Duration run_time{500'000};
   Resources demand;
   std::size_t gang_size = 0;  ///< members that must be present, 0 for a single task
   bool fails = false;
   bool hangs = false;
+  bool lasts = false;
 };
 
 /// Simulates one upstream, with the lease, fencing and end reports of the platform's upstreams.
@@ -62,7 +64,10 @@
     for (const auto& [key, run] : m_running) used += run.work.demand;
     if (!used.FitsIn(m_listing.capacity)) AddViolation("capacity exceeded", order.task);
     if (m_history.running[order.task] > 0) AddViolation("two runs at one time", order.task);
-    if (m_history.acknowledged_done.contains(order.task)) AddViolation("started after acknowledged end", order.task);
+    // A long-running task is started again however it ends.
+    if (m_history.acknowledged_done.contains(order.task) && !work.lasts) {
+      AddViolation("started after acknowledged end", order.task);
+    }
     ++m_history.running[order.task];
     ++m_history.starts[order.task];
     m_history.runs[order.task].insert(order.run);
@@ -107,8 +112,8 @@
 
   bool Runs(const TaskKey& task) const { return m_running.contains(task); }
 
-  /// Ends a run as failed.
-  void Fail(const TaskKey& task) { End(task, EndKind::kFailed); }
+  /// Ends a run.
+  void EndRun(const TaskKey& task, EndKind kind) { End(task, kind); }
 
   /// Restarts the process without its state.
   void Restart() {
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -293,7 +293,8 @@
       }
       work.fails = order.payload.find("fails") != std::string::npos;
       // A task that lasts works until it is stopped or fails.
-      if (order.payload.find("lasts") != std::string::npos && !work.fails) work.run_time = kLastingRunTime;
+      work.lasts = order.payload.find("lasts") != std::string::npos;
+      if (work.lasts && !work.fails) work.run_time = kLastingRunTime;
       work.hangs = order.payload.find("hangs") != std::string::npos;
       return work;
     }
