--- a/src/cell/record_log_test.cc
+++ b/src/cell/record_log_test.cc
@@ -1,6 +1,7 @@
 #include "cell/record_log.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
 #include <map>
@@ -9,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "cell/leader_record.h"
+
 namespace jaymast {
 namespace {
 
@@ -260,6 +263,18 @@
   for (const auto& [key, text] : rows) EXPECT_LE(text.size(), 65'536U);
 }
 
+// Guards against a crash on a row of another writer.
+RC_GTEST_PROP(RecordLogTest, ArbitraryRowsAreDecodedOrRejected, (const std::vector<std::string>& lines)) {
+  std::string row;
+  for (const std::string& line : lines) row += "job1 " + line + "\n";
+  const auto records = DecodeLogRow(row);
+  RecordText text;
+  for (const LogRecord& record : records.value_or(std::vector<LogRecord>{})) text.Add(record.piece, record.text);
+  RecordLog log;
+  if (records) log.AddLoadedRow({kRecordTable, row.substr(0, 12), row, 0}, *records);
+  DecodeLeaderRecord(row);
+}
+
 // Guards against a process exit caused by a row of another version.
 TEST(RecordLogTest, ReportsMalformedRows) {
   EXPECT_FALSE(DecodeLogRow("job1 job text").has_value()) << "no line break";
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -262,8 +262,8 @@
   const bool is_current = task->run == row.run && task->upstream == upstream.listing.id && HasAllocation(task->phase);
   if (!is_current) {
     // A run that was marked as lost still completes its task, unless the task has been assigned again.
-    const bool counts = completes_task && task->run == row.run && task->phase == TaskPhase::kWaiting &&
-                        !IsFinal(job->state);
+    const bool counts =
+        completes_task && task->run == row.run && task->phase == TaskPhase::kWaiting && !IsFinal(job->state);
     if (!counts) {
       upstream.ends[row.number] = true;
       return;
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kLoadRetryDelay{50'000};
+/// Delay after a page that does not continue the one before.
+constexpr Duration kNoProgressDelay{1'000'000};
 /// If the store has not responded for this time, another instance may be about to take over.
 constexpr Duration kStoreStallThreshold{350'000};
 /// In a longer store outage new jobs are refused at once: with a working store another instance would have taken over.
@@ -88,8 +90,13 @@
     m_next_load_at = m_now + kLoadRetryDelay;
     return;
   }
+  if (reply.has_more && (reply.rows.empty() || reply.rows.back().key < m_next_key)) {
+    m_events.Emit("records.no_progress", {{"table", kRecordTable}, {"key", m_next_key}});
+    m_next_load_at = m_now + kNoProgressDelay;
+    return;
+  }
   for (const StateRow& row : reply.rows) OnRow(row);
-  if (reply.has_more && !reply.rows.empty()) {
+  if (reply.has_more) {
     // Continues just above the last key.
     m_next_key = reply.rows.back().key + '\x01';
     return m_request_tick();
