Do not count work that fits nowhere as load ahead of a job

Callers saw: after one job with 40 tasks of 10 cores was accepted on upstreams of 8 cores, jobs of all organisations with the same or a lower priority were refused as overload (429), with all upstreams idle.

Cause: admission adds up the waiting work ahead of a job, and counted work that can take up no capacity.

Ruled out: the weight of the organisation; the refused job is the first one of its organisation.

Change: each waiting step is checked twice a second for whether the usable upstreams could hold a task of it, or all members of a gang, without their other work. Work for which they can't is not counted. The check also decides on reservations. In the first second of a term everything counts, as the upstreams reply only then.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -96,6 +96,8 @@
   /// Tasks of earlier leaders on unreachable upstreams have ended this long after the takeover, as no lease lasts
   /// longer.
   static constexpr Duration kMaxLease{10'800'000};
+  /// Reachable upstreams reply to a new leader within this time.
+  static constexpr Duration kAdoptionTime{1'000'000};
   /// Time for replies that are in flight when a lease expires.
   static constexpr Duration kLeaseExpiryMargin{300'000};
   /// A stop is sent again after this time unless the end of the run was reported.
@@ -221,7 +223,10 @@
   bool CanRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const;
   std::int64_t CountSlots(const StepRef& ref, const UpstreamState& upstream, const Resources& free_capacity) const;
   void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
-  /// Whether the gang will fit on the usable upstreams once their other work has ended, except long-running tasks.
+  /// Checks now and then whether a waiting step can run at all.
+  void CheckFit(const StepRef& ref);
+  /// Whether the gang, or one task of another step, will fit on the usable upstreams once their other work has ended,
+  /// except long-running tasks.
   bool CanFitLater(const StepRef& ref) const;
   void RequestTickets(const StepRef& ref, const QueueConfig& queue);
   /// Upstreams for which a step should request tickets: with free capacity first, none if its tickets are sufficient.
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -15,8 +15,6 @@
 constexpr Duration kMaxConfigAge{1'700'000};
 /// Responses without a write are sent only while the leadership was confirmed within this time.
 constexpr Duration kMaxUnconfirmed{1'200'000};
-/// Reachable upstreams reply to a new leader within this time.
-constexpr Duration kAdoptionTime{1'000'000};
 /// The end of an outage is unknown. Clients wait 3 s in all, and a longer delay would use up most of that time.
 constexpr std::int64_t kStoreRetryAfterS = 1;
 /// The progress of an occurrence fits into a record: a task on an upstream with the longest ID takes about 230 bytes.
@@ -164,6 +162,8 @@
       for (const auto& [number, occurrence] : other.occurrences) {
         for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
           const StepSpec& step = other.spec.steps[s];
+          // Work that fits on no upstream delays no other work.
+          if (!occurrence.steps[s].can_fit_later) continue;
           load.queued_cores += static_cast<double>(occurrence.steps[s].waiting * step.demand.cpu_millis) / 1000.0;
           load.queued_core_s += static_cast<double>(occurrence.steps[s].waiting * step.estimate_ms) / 1000.0 *
                                 static_cast<double>(step.demand.cpu_millis) / 1000.0;
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -34,6 +34,9 @@
 /// Capacity is reserved for a gang after it has waited this long.
 constexpr Duration kReservationDelay{1'500'000};
 
+/// Time between two checks whether a waiting step can run at all.
+constexpr Duration kFitCheckInterval{500'000};
+
 /// A gang that is slow across racks waits this long for free capacity on one rack.
 constexpr Duration kMaxRackWait{1'500'000};
 
@@ -182,14 +185,15 @@
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   const std::vector<UpstreamState*> candidates = FindCandidates(ref);
   if (spec.is_gang) {
-    if (step.waiting < spec.task_count) return;
-    if (PlaceGang(ref, candidates)) return;
-    ReserveUpstreams(ref, candidates);
+    if (step.waiting < spec.task_count || PlaceGang(ref, candidates)) return;
   } else {
     PlaceTasks(ref, candidates);
+    if (step.waiting == 0) return;
   }
+  CheckFit(ref);
+  if (spec.is_gang && step.can_fit_later) ReserveUpstreams(ref, candidates);
   const QueueConfig& queue = *QueueOf(*ref.job);
-  if (step.waiting > 0 && queue.policy) RequestTickets(ref, queue);
+  if (queue.policy) RequestTickets(ref, queue);
 }
 
 bool Scheduler::PlaceGang(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
@@ -266,7 +270,7 @@
   if (m_reserved_upstreams.size() >= candidates.size() + kMaxReservingGangs * kMinRequestedUpstreams) return;
   if (ref.urgency > Urgency::kTimely || m_now - ref.job->accepted < kReservationDelay) return;
   const StepSpec& spec = ref.job->spec.steps[ref.step];
-  if (!TotalDemand(spec).FitsIn(TeamFreeCapacity(ref.job->team)) || !CanFitLater(ref)) return;
+  if (!TotalDemand(spec).FitsIn(TeamFreeCapacity(ref.job->team))) return;
   std::vector<UpstreamState*> ordered = candidates;
   std::stable_sort(ordered.begin(), ordered.end(), [](const auto* a, const auto* b) {
     return a->FreeCapacity().cpu_millis > b->FreeCapacity().cpu_millis;
@@ -281,19 +285,28 @@
   }
 }
 
+void Scheduler::CheckFit(const StepRef& ref) {
+  StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
+  if (m_now < step.next_fit_check_at) return;
+  step.next_fit_check_at = m_now + kFitCheckInterval;
+  const bool is_adopting = m_now - m_took_over_at < kAdoptionTime;
+  step.can_fit_later = is_adopting || CanFitLater(ref);
+}
+
 bool Scheduler::CanFitLater(const StepRef& ref) const {
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   const StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   const QueueConfig& queue = *QueueOf(*ref.job);
+  const std::int64_t needed = spec.is_gang ? spec.task_count : 1;
   std::int64_t slots = 0;
   for (const auto& [free_cpu, upstream] : m_by_free_cpu) {
-    if (slots >= spec.task_count) break;
+    if (slots >= needed) break;
     const auto decision = step.policy_decisions.find(upstream->listing.id);
     const bool is_denied = decision != step.policy_decisions.end() && !decision->second;
     if (is_denied || !CanRunOn(spec, queue, *upstream)) continue;
     slots += CountSlots(ref, *upstream, upstream->AttainableCapacity());
   }
-  return slots >= spec.task_count;
+  return slots >= needed;
 }
 
 std::vector<UpstreamId> Scheduler::ChooseUpstreamsToRequest(const StepRef& ref, const QueueConfig& queue) {
--- a/src/instance/cell_gang_test.cc
+++ b/src/instance/cell_gang_test.cc
@@ -146,6 +146,13 @@
   ExpectLaterWorkStarts();
 }
 
+// Guards against refusing work as overload because of waiting work that can't take up any capacity.
+TEST_F(WaitingGangTest, WorkThatFitsNowhereIsNoOverload) {
+  cluster.Call(0, "POST", "gang", "tasks=40 cpu=10000 ms=60000 gang");
+  cluster.Call(0, "POST", "tasks", "tasks=40 cpu=10000 ms=60000");
+  ExpectLaterWorkStarts();
+}
+
 // Guards against a gang that never gets the upstreams that it needs at the same time beside a stream of small tasks.
 TEST_F(WaitingGangTest, GangThatFitsGetsUpstreamsReserved) {
   for (int i = 0; i < 32; ++i) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -83,6 +83,8 @@
   std::map<UpstreamId, bool> policy_decisions;  ///< whether each upstream asked about may run it
   int open_policy_calls = 0;
   Time next_policy_call_at{};             ///< earliest next call to the policy service
+  bool can_fit_later = true;              ///< whether the usable upstreams could hold waiting tasks, as last checked
+  Time next_fit_check_at{};
   std::int64_t waiting = 0;               ///< tasks without an upstream
   std::int64_t not_done = 0;              ///< tasks that are not done
   bool is_gang_done = false;              ///< one member has completed, which completes all
