Count jobs with refused starts as waiting after a takeover

Callers saw: after a takeover the number of waiting jobs of a queue left out accepted jobs that had not begun, and jobs that ran were shown as pending until their end.

Cause: a new leader took each job with a numbered run as begun. The number is recorded with the assignment, before the start is sent, and stays if the start is refused.

Ruled out: the count itself; it is right before the takeover.

--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -141,7 +141,7 @@
 
 void Scheduler::MarkStarted(Job& job) {
   if (job.has_started) return;
-  // Not recorded: a new leader derives it from the run numbers.
+  // Not recorded by itself: a new leader learns it from the upstreams.
   job.has_started = true;
   if (job.state == JobState::kPending) job.state = JobState::kRunning;
   if (job.committed_state == JobState::kPending && job.committed_change > 0) job.committed_state = JobState::kRunning;
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -54,13 +54,16 @@
       call.spec = std::move(spec);
     } else if (request.method == "DELETE") {
       call.action = ClientAction::kCancel;
+    } else if (request.target.ends_with('/')) {
+      call.action = ClientAction::kReadQueue;
     }
     return call;
   }
   HttpResponse Encode(const ClientCall& /*call*/, const ClientReply& reply) const override {
     HttpResponse response;
     response.status = static_cast<int>(reply.outcome);
-    response.body = std::string(ToString(reply.state));
+    const bool is_count = reply.outcome == ClientOutcome::kQueueLength;
+    response.body = is_count ? std::to_string(reply.waiting_jobs) : std::string(ToString(reply.state));
     return response;
   }
   std::int64_t ClientTimeoutMs(const HttpRequest& request) const override {
--- a/src/instance/cell_takeover_test.cc
+++ b/src/instance/cell_takeover_test.cc
@@ -227,5 +227,28 @@
   for (const auto& [task, starts] : cluster.history.starts) EXPECT_EQ(starts, 1) << FormatTaskKey(task);
 }
 
+// Guards against jobs that a new leader takes as started although their upstream has refused every start.
+TEST(CellTakeoverTest, RefusedStartsLeaveJobsWaiting) {
+  SimulatedCluster cluster(2, 2);
+  cluster.Run(seconds(2));
+  cluster.start_status = [](const StartOrder& order) {
+    return order.task.job == JobId("begun") ? OrderStatus::kAccepted : OrderStatus::kUnhealthy;
+  };
+  cluster.Call(0, "POST", "begun", "tasks=1 ms=20000");
+  for (int i = 0; i < 10; ++i) cluster.Call(0, "POST", "job" + std::to_string(i), "tasks=1 cpu=1000 ms=300");
+  cluster.Run(seconds(3));
+  cluster.Kill(cluster.Leader());
+  cluster.Run(seconds(2));
+  cluster.Call(cluster.Leader(), "GET", "");
+  cluster.Run(milliseconds(300));
+  EXPECT_EQ(cluster.LastBody("GET "), "10");
+  EXPECT_EQ(GetJobState(cluster, cluster.Leader(), "begun"), "running");
+  cluster.start_status = nullptr;
+  cluster.Run(seconds(5));
+  cluster.Call(cluster.Leader(), "GET", "");
+  cluster.Run(milliseconds(300));
+  EXPECT_EQ(cluster.LastBody("GET "), "0");
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/jobs/job_record.cc
+++ b/src/jobs/job_record.cc
@@ -131,7 +131,8 @@
     step.not_done = 0;
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
       if (!DecodeTask(parts[2].get_array()[i], step.tasks[i])) return false;
-      if (step.tasks[i].run > 0) has_started = true;
+      // A number of a run alone may be that of a refused start. The upstreams report runs that have begun.
+      if (step.tasks[i].failures > 0 || step.tasks[i].phase == TaskPhase::kDone) has_started = true;
       if (step.tasks[i].phase == TaskPhase::kWaiting) ++step.waiting;
       if (step.tasks[i].phase != TaskPhase::kDone) ++step.not_done;
     }
