Record the settings of a job's queue with the job

Callers saw: a job that was accepted before its queue was removed stood still for good after the next change of the leader, or failed after one failed run.

Cause: removed queues were kept in the memory of the leader only.

Ruled out: the removal alone; without a takeover the job is done.

Change: the record of a job holds the settings of its queue at acceptance. They apply while the queue is not configured.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -234,7 +234,8 @@
 
 const QueueConfig* Scheduler::QueueOf(const Job& job) const {
   const auto found = m_known_queues.find(job.queue);
-  return found == m_known_queues.end() ? nullptr : &found->second;
+  if (found != m_known_queues.end()) return &found->second;
+  return job.accepted_queue.service.empty() ? nullptr : &job.accepted_queue;
 }
 
 void Scheduler::MarkChanged(Job& job) {
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -245,7 +245,7 @@
   Time m_now;
   LeadershipStatus m_leadership;
   std::shared_ptr<const CellConfig> m_config;
-  std::map<QueueId, QueueConfig> m_known_queues;  ///< includes removed queues, for jobs accepted before
+  std::map<QueueId, QueueConfig> m_known_queues;  ///< includes queues removed in this term
   Time m_config_current_at{};
   std::set<DomainId> m_domains_out_of_service;
   std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -134,6 +134,9 @@
   Job job;
   job.id = id;
   job.queue = queue.id;
+  job.accepted_queue = queue;
+  job.accepted_queue.host.clear();
+  job.accepted_queue.prefix.clear();
   job.team = team;
   job.call_id = call.call_id;
   job.spec = *call.spec;
--- a/src/instance/cell_takeover_test.cc
+++ b/src/instance/cell_takeover_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cell_testing/cell_checks.h"
 
@@ -250,5 +252,31 @@
   EXPECT_EQ(cluster.LastBody("GET "), "0");
 }
 
+// Guards against an accepted job that no later leader continues, or that fails after one attempt, because its queue was
+// removed.
+TEST(CellTakeoverTest, JobOfRemovedQueueIsContinued) {
+  SimulatedCluster cluster(2, 2);
+  cluster.config->queues.front().policy = PolicyConfig{20, 1, 2000};
+  cluster.Run(seconds(2));
+  cluster.Call(0, "POST", "job1", "tasks=2 steps=2 ms=3000");
+  cluster.Run(seconds(1));
+  ASSERT_EQ(cluster.LastStatus("POST job1"), kAccepted);
+  const TaskKey task{JobId("job1"), 0, 0, 0};
+  const std::vector<QueueConfig> queues = std::exchange(cluster.config->queues, {});
+  cluster.config->version = 2;
+  cluster.Run(seconds(1));
+  cluster.Kill(cluster.Leader());
+  cluster.Run(seconds(1));
+  for (const auto& upstream : cluster.fake_upstreams) {
+    if (upstream->Runs(task)) upstream->EndRun(task, EndKind::kFailed);
+  }
+  cluster.Run(seconds(10));
+  cluster.config->queues = queues;
+  cluster.config->version = 3;
+  cluster.Run(seconds(1));
+  EXPECT_EQ(GetJobState(cluster, cluster.Leader(), "job1"), "completed");
+  ExpectNoViolation(cluster);
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -14,6 +14,7 @@
 #include "base/enum_names.h"
 #include "base/id.h"
 #include "base/time.h"
+#include "jobs/cell_config.h"
 #include "jobs/job_spec.h"
 
 namespace jaymast {
@@ -103,6 +104,9 @@
 struct Job {
   JobId id;
   QueueId queue;
+  /// Settings of the queue at acceptance, without host and prefix. In force once the queue has been removed. Without a
+  /// service if the job was accepted by a version that did not record them.
+  QueueConfig accepted_queue;
   TeamId team;  ///< organisation of the client
   JobSpec spec;
   std::string call_id;  ///< of the call that submitted the job
--- a/src/jobs/job_record.cc
+++ b/src/jobs/job_record.cc
@@ -101,6 +101,37 @@
   return steps;
 }
 
+json::array EncodeQueueSettings(const QueueConfig& queue) {
+  json::array out = {queue.service.value(), queue.priority, queue.max_attempts, queue.stretch,
+                     queue.target_duration_ms};
+  if (!queue.policy) return out;
+  out.emplace_back(queue.policy->call_ms);
+  out.emplace_back(queue.policy->per_upstream_ms);
+  out.emplace_back(queue.policy->ticket_ms);
+  return out;
+}
+
+std::optional<QueueConfig> DecodeQueueSettings(const QueueId& id, const json::array& row) {
+  constexpr std::size_t kFields = 5;
+  constexpr std::size_t kFieldsWithPolicy = 8;
+  if ((row.size() != kFields && row.size() != kFieldsWithPolicy) || !row[0].is_string()) return std::nullopt;
+  for (std::size_t i = 1; i < row.size(); ++i) {
+    if (!row[i].is_number()) return std::nullopt;
+  }
+  boost::system::error_code ec;
+  const auto integer = [&](std::size_t i) { return ec ? 0 : row[i].to_number<std::int64_t>(ec); };
+  const auto number = [&](std::size_t i) { return ec ? 0 : row[i].to_number<double>(ec); };
+  QueueConfig queue;
+  queue.id = id;
+  queue.service = ServiceId(std::string(row[0].get_string()));
+  queue.priority = integer(1);
+  queue.max_attempts = integer(2);
+  queue.stretch = number(3);
+  queue.target_duration_ms = integer(4);
+  if (row.size() == kFieldsWithPolicy) queue.policy = PolicyConfig{number(5), number(6), integer(7)};
+  return ec ? std::nullopt : std::optional(queue);
+}
+
 bool DecodeTask(const json::value& value, TaskState& task) {
   if (!value.is_array()) return false;
   const json::array& row = value.get_array();
@@ -162,6 +193,7 @@
 std::string EncodeJobRecord(const Job& job) {
   json::object out;
   out["q"] = job.queue.value();
+  if (!job.accepted_queue.service.empty()) out["qs"] = EncodeQueueSettings(job.accepted_queue);
   out["t"] = job.team.value();
   out["at"] = job.recorded_at_ms;
   out["p"] = job.spec.payload;
@@ -239,6 +271,11 @@
   Job job;
   job.id = id;
   job.queue = QueueId(reader.RequiredString("q", kMaxRecordBytes));
+  if (const json::array* settings = reader.Array("qs")) {
+    std::optional<QueueConfig> queue = DecodeQueueSettings(job.queue, *settings);
+    if (!queue) return Error{ErrorId::kInputField, path + "/qs", "unreadable queue settings"};
+    job.accepted_queue = std::move(*queue);
+  }
   job.team = TeamId(reader.String("t", "", kMaxRecordBytes));
   job.state = reader.Enum("s", JobState::kPending);
   job.committed_state = job.state;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -8,7 +8,7 @@
 
 namespace jaymast {
 
-/// Encodes the immutable part of a job: queue, organisation and specification.
+/// Encodes the immutable part of a job: queue with its settings at acceptance, organisation and specification.
 std::string EncodeJobRecord(const Job& job);
 
 /// Encodes an ended job: queue, organisation and state.
--- a/src/jobs/job_record_test.cc
+++ b/src/jobs/job_record_test.cc
@@ -12,6 +12,10 @@
   Job job;
   job.id = JobId("5c0e7a21d94b36f8");
   job.queue = QueueId("q");
+  job.accepted_queue.service = ServiceId("s");
+  job.accepted_queue.max_attempts = 4;
+  job.accepted_queue.stretch = 2.2;
+  job.accepted_queue.policy = PolicyConfig{450, 6.5, 2500};
   job.team = TeamId("t");
   job.call_id = "c-1";
   job.recorded_at_ms = 1234;
@@ -47,6 +51,11 @@
   ASSERT_TRUE(read) << read.error().path;
   ASSERT_TRUE(ApplyProgressRecord(EncodeProgressRecord(job), *read));
   EXPECT_EQ(read->queue, job.queue);
+  EXPECT_EQ(read->accepted_queue.service, ServiceId("s"));
+  EXPECT_EQ(read->accepted_queue.max_attempts, 4);
+  EXPECT_DOUBLE_EQ(read->accepted_queue.stretch, 2.2);
+  ASSERT_TRUE(read->accepted_queue.policy);
+  EXPECT_DOUBLE_EQ(read->accepted_queue.policy->per_upstream_ms, 6.5);
   EXPECT_EQ(read->team, job.team);
   EXPECT_EQ(read->call_id, job.call_id);
   EXPECT_EQ(read->spec.payload, job.spec.payload);
