Refuse amounts that a new leader could not read

Callers saw: nothing yet; found while bounding the records. A job with an estimated run time beyond 2^52 ms was accepted and did not exist any more after a takeover.

Cause: records are read with a bound for amounts that was not checked before they were written.

Change: amounts of a step above 2^40 are refused with their name, step and range, and the objective is bounded, so that sums do not overflow.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -20,6 +20,8 @@
 constexpr double kUpstreamsPerCallInObjective = 30;
 /// Ended jobs are kept for this time; clients may read them for 120 s.
 constexpr Duration kEndedJobRetention{300'000'000};
+/// Bound of the stretched critical path, so that times computed from it do not overflow.
+constexpr double kMaxObjectiveMs = 1e12;
 /// The hard deadline of a job is this multiple of its objective.
 constexpr int kHardDeadlineFactor = 3;
 
@@ -304,7 +306,8 @@
     critical_path_ms[s] += static_cast<double>(step.estimate_ms) + call_ms;
     longest = std::max(longest, critical_path_ms[s]);
   }
-  const auto objective_ms = static_cast<std::int64_t>(longest * queue->stretch) + queue->target_duration_ms;
+  const auto stretched_ms = static_cast<std::int64_t>(std::min(longest * queue->stretch, kMaxObjectiveMs));
+  const std::int64_t objective_ms = stretched_ms + queue->target_duration_ms;
   job.objective = job.accepted + std::chrono::milliseconds(objective_ms);
   job.hard_deadline = job.accepted + std::chrono::milliseconds(objective_ms * kHardDeadlineFactor);
 }
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -1,8 +1,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "cell/scheduler.h"
@@ -19,6 +21,8 @@
 constexpr std::int64_t kStoreRetryAfterS = 1;
 /// The progress of an occurrence fits into a record: a task on an upstream with the longest ID takes about 230 bytes.
 constexpr std::int64_t kMaxTasksOfOccurrence = 1'000;
+/// Bound of the amounts of a step. Larger ones could overflow when those of all waiting tasks are added up.
+constexpr std::int64_t kMaxAmount = std::int64_t{1} << 40U;
 /// Bound of times in ms, the largest integer that all JSON implementations represent exactly.
 constexpr std::int64_t kMaxScheduleMs = std::int64_t{1} << 53U;
 
@@ -29,6 +33,23 @@
   return reply;
 }
 
+/// Returns the name of the first amount of a step that is negative or too large, or an empty text.
+std::string_view FindInvalidAmount(const StepSpec& step) {
+  const std::array<std::pair<std::string_view, std::int64_t>, 7> amounts = {{
+      {"cpu demand", step.demand.cpu_millis},
+      {"memory demand", step.demand.memory_mb},
+      {"accelerator demand", step.demand.accelerators},
+      {"estimated run time", step.estimate_ms},
+      {"limit for each upstream", step.max_per_upstream},
+      {"latency objective", step.latency_objective_ms},
+      {"limit of unavailable tasks", step.max_unavailable},
+  }};
+  for (const auto& [name, amount] : amounts) {
+    if (amount < 0 || amount > kMaxAmount) return name;
+  }
+  return "";
+}
+
 /// Returns why no job with this specification can be accepted, or an empty text.
 std::string FindDefect(const JobSpec& spec) {
   if (spec.steps.empty()) return "the job has no steps";
@@ -39,6 +60,9 @@
       return fmt::format("step {} has {} tasks; 1 to {} are allowed", s, step.task_count, kMaxTasksOfOccurrence);
     }
     tasks += step.task_count;
+    if (const std::string_view amount = FindInvalidAmount(step); !amount.empty()) {
+      return fmt::format("the {} of step {} is out of range; 0 to {} are allowed", amount, s, kMaxAmount);
+    }
     for (const std::size_t dependency : step.dependencies) {
       if (dependency >= spec.steps.size() || dependency == s) {
         return fmt::format("step {} depends on step {}; the job has {} steps", s, dependency, spec.steps.size());
--- a/src/instance/cell_takeover_test.cc
+++ b/src/instance/cell_takeover_test.cc
@@ -278,5 +278,22 @@
   ExpectNoViolation(cluster);
 }
 
+// Guards against an accepted job that a new leader cannot read because of a number outside the range of its records.
+TEST(CellTakeoverTest, AcceptedAmountsAreReadByNewLeader) {
+  SimulatedCluster cluster(2, 2);
+  cluster.Run(seconds(2));
+  cluster.Call(0, "POST", "large_time", "tasks=1 ms=9000000000000000000");
+  cluster.Call(0, "POST", "large_cpu", "tasks=1000 cpu=9000000000000000000");
+  cluster.Call(0, "POST", "largest", "tasks=1000 cpu=1099511627776 ms=1099511627776");
+  cluster.Run(seconds(1));
+  EXPECT_EQ(cluster.LastStatus("POST large_time"), kMalformed);
+  EXPECT_EQ(cluster.LastStatus("POST large_cpu"), kMalformed);
+  EXPECT_EQ(cluster.LastStatus("POST largest"), kAccepted);
+  cluster.Kill(cluster.Leader());
+  cluster.Run(seconds(2));
+  GetJobState(cluster, cluster.Leader(), "largest");
+  EXPECT_EQ(cluster.LastStatus("GET largest"), kState);
+}
+
 }  // namespace
 }  // namespace jaymast
