Assume the longest lease after the clock of an upstream went back

Callers saw: nothing reported; a task could run twice at a time. An upstream that restarts under its id right before it receives an order takes the end of the lease on its earlier clock, so the lease lasts up to 10 s instead of 7 s, and the leader started the task elsewhere after 7.5 s if the upstream then fell silent.

Cause: the leader counted the lease from its own grant, whichever incarnation took it.

The trace shows the order with the time of the earlier clock.

Change: when the clock of an upstream goes back by more than the margin of a lease, its leases count as the longest from then on.

Result: CellJobsTest.LeaseOnEarlierClockOfUpstreamDelaysRestart failed before (two runs at one time) and passes.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -174,6 +174,8 @@
   void StopUnconfirmedMembers(Job& job, const TaskKey& key);
   /// Invalidates all orders up to a fencing token, so that the next sync shows which of them took effect.
   void Fence(UpstreamState& upstream, std::uint64_t order_token);
+  /// Sets the clock of an upstream. A clock that went back is that of a restarted upstream.
+  void SetClock(UpstreamState& upstream, std::int64_t clock_ms);
   /// Extends the leases of an upstream.
   /// @return end of the leases in ms on the clock of the upstream, 0 if no lease may be granted
   std::int64_t GrantLease(UpstreamState& upstream);
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -42,6 +42,16 @@
   return upstream.ClockMsAt(m_now) + ToMillis(span);
 }
 
+void Scheduler::SetClock(UpstreamState& upstream, std::int64_t clock_ms) {
+  // The restarted upstream may have taken the end of a lease on its earlier clock, and shortens it to the longest
+  // lease.
+  const std::int64_t margin_ms = ToMillis(kLeaseExpiryMargin);
+  const bool has_restarted = clock_ms + margin_ms < upstream.clock_ms;
+  if (has_restarted) upstream.leases_expire_at = std::max(upstream.leases_expire_at, m_now + kMaxLease);
+  upstream.clock_ms = clock_ms;
+  upstream.clock_at = m_now;
+}
+
 void Scheduler::SendStart(const TaskKey& key, std::int32_t run) {
   TaskState* task = FindTask(key);
   if (task == nullptr || task->run != run) return;
@@ -99,10 +109,7 @@
   Job& job = *FindJob(key.job);
   UpstreamState& upstream = m_upstreams[task->upstream];
   const bool is_gang = job.spec.steps[key.step].is_gang;
-  if (reply.clock_ms > 0) {
-    upstream.clock_ms = reply.clock_ms;
-    upstream.clock_at = m_now;
-  }
+  if (reply.clock_ms > 0) SetClock(upstream, reply.clock_ms);
   if (reply.status == OrderStatus::kAccepted) {
     m_ports.events.Emit("task.started", {{"task", FormatTaskKey(key)},
                                          {"run", std::to_string(run)},
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -185,8 +185,7 @@
   const bool was_adopted = upstream.is_adopted;
   const bool is_new_incarnation = upstream.incarnation != reply.incarnation && upstream.incarnation != 0;
   upstream.last_reply_at = m_now;
-  upstream.clock_ms = reply.clock_ms;
-  upstream.clock_at = m_now;
+  SetClock(upstream, reply.clock_ms);
   upstream.incarnation = reply.incarnation;
   if (is_new_incarnation) {
     m_ports.events.Emit("upstream.restarted", {{"upstream", id.value()}});
--- a/src/cell_testing/fake_upstream.h
+++ b/src/cell_testing/fake_upstream.h
@@ -159,6 +159,7 @@
  private:
   static constexpr Duration kGangPollInterval{50'000};
   static constexpr std::int32_t kStandStillPercent = 10;
+  static constexpr std::int64_t kMaxLeaseMs = 10'000;  ///< a longer lease is shortened
 
   struct Run {
     std::int32_t run = 0;
@@ -197,6 +198,7 @@
   std::int64_t ClockMs() const { return 1 + ToMillis(m_queue.now() - m_started_at); }
 
   void ExtendLease(std::int64_t until_ms) {
+    until_ms = std::min(until_ms, ClockMs() + kMaxLeaseMs);
     m_lease_until_ms = std::max(m_lease_until_ms, until_ms);
     m_queue.After(std::chrono::milliseconds(std::max<std::int64_t>(1, until_ms - ClockMs())), [this] { Advance(); });
   }
--- a/src/instance/cell_fault_schedule_test.cc
+++ b/src/instance/cell_fault_schedule_test.cc
@@ -91,9 +91,10 @@
 
 // Seeds of earlier failures. 106, 168: ends of a new incarnation of an upstream were acknowledged without being
 // processed. 1390: a process that had been paused sent an outdated start. 1972: the same with a repeated start. 1998 to
-// 2000: ends were missed while the upstream was unreachable.
+// 2000: ends were missed while the upstream was unreachable. 791, 894: an upstream took a lease on the clock that it
+// had before its restart.
 INSTANTIATE_TEST_SUITE_P(Regressions, FaultScheduleTest,
-                         testing::Values(106U, 168U, 1390U, 1972U, 1998U, 1999U, 2000U));
+                         testing::Values(106U, 168U, 1390U, 1972U, 1998U, 1999U, 2000U, 791U, 894U));
 
 }  // namespace
 }  // namespace jaymast
--- a/src/instance/cell_jobs_test.cc
+++ b/src/instance/cell_jobs_test.cc
@@ -76,6 +76,29 @@
   ExpectNoViolation(cluster);
 }
 
+// Guards against a second run beside one whose upstream has restarted and holds a lease on its earlier clock, which
+// ends later than the leader granted it.
+TEST(CellJobsTest, LeaseOnEarlierClockOfUpstreamDelaysRestart) {
+  SimulatedCluster cluster(2, 2);
+  cluster.Run(seconds(8));
+  FakeUpstream* restarted = nullptr;
+  cluster.drops_start = [&cluster, &restarted](const StartOrder& order) {
+    // The order is received after the restart.
+    if (restarted == nullptr) {
+      restarted = cluster.FindUpstream(order.target.address);
+      restarted->Restart();
+    }
+    return false;
+  };
+  cluster.Call(0, "POST", "job1", "tasks=1 cpu=8000 ms=9000");
+  while (cluster.history.starts.empty()) cluster.Run(milliseconds(1));
+  cluster.Run(milliseconds(3));
+  restarted->is_reachable = false;
+  cluster.Run(seconds(25));
+  EXPECT_EQ(GetJobState(cluster, 0, "job1"), "completed");
+  ExpectNoViolation(cluster);
+}
+
 // Guards against a second run while the first continues behind a network partition.
 TEST(CellJobsTest, TasksBehindShortPartitionAreNotRestarted) {
   SimulatedCluster cluster(2, 2);
