Record the ends of leases of silent upstreams for the next leader

Callers saw: long-running tasks of lost upstreams stayed down for 14 to 18 s when the leader changed after the loss, and longer with each further change.

Cause: a new leader did not know the leases granted before it, and assumed the longest one from its takeover on.

Ruled out: detection and placement; without a takeover the tasks are back within 9 s.

Change: the leader records when the leases of an upstream that has been silent for 1 s have surely ended, on the clock of the store. While this is recorded no leader extends the leases; the record is withdrawn before the upstream gets leases again. A new leader takes the recorded end. Events leases.recorded and leases.known show it.

Open: a leader lost within 1 s after the upstream records nothing.

--- a/src/cell/group_committer.cc
+++ b/src/cell/group_committer.cc
@@ -86,6 +86,7 @@
   if (reply.now_ms > 0) {
     m_store_now_ms = reply.now_ms;
     m_store_now_at = m_now;
+    m_store_now_sent_at = m_sent_at;
   }
   switch (reply.status) {
     case StateStatus::kDone:
--- a/src/cell/group_committer.h
+++ b/src/cell/group_committer.h
@@ -53,6 +53,8 @@
   bool IsStalled(Time now, Duration bound) const { return m_failing_since && now - *m_failing_since > bound; }
   /// Store clock at `now` in ms, extrapolated from the last reply.
   std::int64_t store_now_ms(Time now) const { return m_store_now_ms + ToMillis(now - m_store_now_at); }
+  /// Latest possible store clock at `now` in ms.
+  std::int64_t max_store_now_ms(Time now) const { return m_store_now_ms + ToMillis(now - m_store_now_sent_at); }
 
  private:
   void Send(Time now);
@@ -85,6 +87,7 @@
   std::optional<Time> m_failing_since;
   std::int64_t m_store_now_ms = 0;
   Time m_store_now_at{};
+  Time m_store_now_sent_at{};  ///< when the transaction was sent whose reply gave the store clock
 };
 
 }  // namespace jaymast
--- a/src/cell/record_log.cc
+++ b/src/cell/record_log.cc
@@ -10,8 +10,8 @@
 
 /// A row of the store holds 64 KiB.
 constexpr std::size_t kMaxRowBytes = std::size_t{32} * 1024;
-/// Rows in one transaction, which carries at most 100, among them the leader row.
-constexpr std::size_t kMaxRows = 99;
+/// Rows in one transaction, which carries at most 100, among them the leader row and that of the lease bounds.
+constexpr std::size_t kMaxRows = 98;
 /// Removals in one transaction.
 constexpr std::size_t kMaxRemovals = 60;
 /// Up to this many rows nothing is compacted: a page of a scan carries 500.
--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -104,6 +104,7 @@
   SendPostponedStarts();
   SyncDueUpstreams();
   LeaveDrainingUpstreams();
+  RecordLeaseBounds();
   std::erase_if(m_unopened, [this](const auto& entry) { return OpenDueOccurrences(*entry.second); });
   if (m_needs_placement || now >= m_next_placement) PlaceWaitingSteps();
 }
@@ -132,8 +133,14 @@
     if (m_log.pending_bytes() < kMaxBatchBytes) CompactRecord(item);
   }
   batch.writes = m_log.TakeWrites();
+  const std::vector<UpstreamId> withdrawn = PutLeaseBounds(batch);
   if (!m_commit_queue.empty()) m_mark_dirty();
-  batch.on_committed = [this, batched_changes = std::move(batched_changes)] {
+  batch.on_committed = [this, batched_changes = std::move(batched_changes), withdrawn] {
+    for (const UpstreamId& id : withdrawn) {
+      UpstreamState& upstream = m_upstreams[id];
+      upstream.recorded_lease_end_ms = 0;
+      upstream.withdraws_lease_bound = false;
+    }
     for (const auto& [id, change] : batched_changes) {
       Job* job = FindJob(id);
       if (job == nullptr) continue;
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -16,6 +16,7 @@
 #include "cell/cell_event_sink.h"
 #include "cell/client_call.h"
 #include "cell/group_committer.h"
+#include "cell/lease_record.h"
 #include "cell/policy_call_dispatcher.h"
 #include "cell/policy_client.h"
 #include "cell/record_log.h"
@@ -33,7 +34,8 @@
   bool is_store_stalled = false;      ///< the store does not reply to this leader, but may reply to other instances
   bool is_store_unavailable = false;  ///< the stall is so long that no other instance can reach the store either
   std::int64_t store_now_ms = 0;
-  std::int64_t unix_now_ms = 0;  ///< time of day, which may jump
+  std::int64_t max_store_now_ms = 0;  ///< latest possible store clock
+  std::int64_t unix_now_ms = 0;       ///< time of day, which may jump
 };
 
 /// Schedules jobs on the leader: accepts them, places, starts and stops their tasks, and records jobs and tasks.
@@ -56,6 +58,8 @@
   // Loading of recorded jobs, before the first tick.
   void LoadRow(const StateRow& row, const std::vector<LogRecord>& records) { m_log.AddLoadedRow(row, records); }
   void LoadJob(Job job, std::int64_t age_ms);
+  /// @param store_now_ms store clock when the bounds were read, or earlier
+  void LoadLeaseBounds(const LeaseBounds& bounds, std::int64_t store_now_ms);
   /// Computes the allocated capacity of upstreams and organisations from the recorded jobs.
   void FinishLoading();
 
@@ -100,6 +104,7 @@
   static constexpr Duration kAdoptionTime{1'000'000};
   /// Time for replies that are in flight when a lease expires.
   static constexpr Duration kLeaseExpiryMargin{300'000};
+  static constexpr int kUnreachableAfterFailedSyncs = 2;
   /// A stop is sent again after this time unless the end of the run was reported.
   static constexpr Duration kStopRetryDelay{500'000};
   /// An upstream that refused a start or was unreachable gets no start for this time.
@@ -176,6 +181,12 @@
   void Fence(UpstreamState& upstream, std::uint64_t order_token);
   /// Sets the clock of an upstream. A clock that went back is that of a restarted upstream.
   void SetClock(UpstreamState& upstream, std::int64_t clock_ms);
+  /// Records the ends of the leases of upstreams that do not reply, and withdraws those of upstreams that do.
+  void RecordLeaseBounds();
+  void WithdrawLeaseBound(UpstreamState& upstream);
+  /// Adds the changed lease bounds to the next transaction.
+  /// @return the upstreams whose recorded bounds it removes
+  std::vector<UpstreamId> PutLeaseBounds(CommitBatch& batch);
   /// Extends the leases of an upstream.
   /// @return end of the leases in ms on the clock of the upstream, 0 if no lease may be granted
   std::int64_t GrantLease(UpstreamState& upstream);
@@ -274,6 +285,8 @@
   Time m_order_timed_out_at{};                                       ///< when an order or sync last got no reply
   Time m_next_placement{};
   Time m_next_drain_check{};
+  Time m_next_lease_check{};
+  bool m_are_lease_bounds_changed = false;
 };
 
 }  // namespace jaymast
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cell/lease_record.h"
 #include "cell/scheduler.h"
 #include "jobs/job_record.h"
 
@@ -19,6 +20,10 @@
 constexpr Duration kMaxStartUnconfirmed{1'000'000};
 /// A start without a reply is sent this many times before the upstream is fenced.
 constexpr std::int32_t kMaxSendAttempts = 3;
+/// The end of the leases of an upstream is recorded after this time without a reply.
+constexpr Duration kLeaseBoundDelay{1'000'000};
+constexpr Duration kLeaseCheckInterval{200'000};
+
 }  // namespace
 
 void Scheduler::Assign(Job& job, const TaskKey& key, const UpstreamId& upstream) {
@@ -52,6 +57,67 @@
   upstream.clock_at = m_now;
 }
 
+void Scheduler::LoadLeaseBounds(const LeaseBounds& bounds, std::int64_t store_now_ms) {
+  for (const auto& [id, end_ms] : bounds) {
+    UpstreamState& upstream = GetOrAddUpstream(id);
+    upstream.recorded_lease_end_ms = end_ms;
+    const Time end = m_now + std::chrono::milliseconds(std::max<std::int64_t>(0, end_ms - store_now_ms));
+    upstream.leases_expire_at = std::min(upstream.leases_expire_at, end);
+    m_ports.events.Emit("leases.known", {{"upstream", id.value()},
+                                         {"ends_in_ms", std::to_string(ToMillis(upstream.leases_expire_at - m_now))}});
+  }
+}
+
+void Scheduler::RecordLeaseBounds() {
+  // Without the store a bound could not be withdrawn, and the upstream would get no lease when it replies again.
+  const bool is_due = m_now >= m_next_lease_check && m_now - m_leadership.confirmed_at < kMaxStartUnconfirmed;
+  if (!is_due || m_leadership.is_store_stalled) return;
+  m_next_lease_check = m_now + kLeaseCheckInterval;
+  std::size_t recorded = 0;
+  for (const auto& [id, upstream] : m_upstreams) recorded += upstream.recorded_lease_end_ms > 0 ? 1 : 0;
+  for (auto& [id, upstream] : m_upstreams) {
+    if (upstream.tasks.empty()) {
+      WithdrawLeaseBound(upstream);
+      continue;
+    }
+    const Time silent_since = std::max(upstream.last_reply_at, m_took_over_at);
+    // An upstream that was not adopted got no lease in this term.
+    const bool gets_no_leases = !upstream.is_adopted || upstream.failed_syncs >= kUnreachableAfterFailedSyncs;
+    const bool is_silent = gets_no_leases && m_now - silent_since >= kLeaseBoundDelay;
+    if (!is_silent || upstream.recorded_lease_end_ms > 0 || recorded >= kMaxLeaseBounds) continue;
+    ++recorded;
+    upstream.recorded_lease_end_ms = m_leadership.max_store_now_ms + ToMillis(upstream.leases_expire_at - m_now) + 1;
+    m_are_lease_bounds_changed = true;
+    m_mark_dirty();
+    m_ports.events.Emit(
+        "leases.recorded",
+        {{"upstream", id.value()}, {"ends_in_ms", std::to_string(ToMillis(upstream.leases_expire_at - m_now))}});
+  }
+}
+
+void Scheduler::WithdrawLeaseBound(UpstreamState& upstream) {
+  if (upstream.recorded_lease_end_ms == 0 || upstream.withdraws_lease_bound) return;
+  upstream.withdraws_lease_bound = true;
+  m_are_lease_bounds_changed = true;
+  m_mark_dirty();
+}
+
+std::vector<UpstreamId> Scheduler::PutLeaseBounds(CommitBatch& batch) {
+  std::vector<UpstreamId> withdrawn;
+  if (!std::exchange(m_are_lease_bounds_changed, false)) return withdrawn;
+  LeaseBounds bounds;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (upstream.recorded_lease_end_ms == 0) continue;
+    if (upstream.withdraws_lease_bound) {
+      withdrawn.push_back(id);
+    } else {
+      bounds[id] = upstream.recorded_lease_end_ms;
+    }
+  }
+  batch.writes.push_back({kLeaderTable, kLeaseKey, EncodeLeaseBounds(bounds)});
+  return withdrawn;
+}
+
 void Scheduler::SendStart(const TaskKey& key, std::int32_t run) {
   TaskState* task = FindTask(key);
   if (task == nullptr || task->run != run) return;
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -16,7 +16,6 @@
 constexpr Duration kLossyPeriod{4'000'000};
 /// An upstream can't restart and finish a run within this time after a reply.
 constexpr Duration kSameIncarnationBound{150'000};
-constexpr int kUnreachableAfterFailedSyncs = 2;
 /// While reported ends are not committed, a sync gets an immediate reply, so it is repeated only to extend leases.
 constexpr Duration kUncommittedEndsSyncInterval{300'000};
 /// Delay after a failed sync; grows with each failure up to the maximum.
@@ -81,9 +80,9 @@
 }
 
 bool Scheduler::IsUsable(const UpstreamState& upstream) const {
-  return upstream.is_listed && upstream.is_adopted && !upstream.listing.is_draining &&
-         upstream.listing.incarnation == upstream.incarnation && upstream.failed_syncs < kUnreachableAfterFailedSyncs &&
-         upstream.quarantined_until <= m_now &&
+  return upstream.is_listed && upstream.is_adopted && upstream.recorded_lease_end_ms == 0 &&
+         !upstream.listing.is_draining && upstream.listing.incarnation == upstream.incarnation &&
+         upstream.failed_syncs < kUnreachableAfterFailedSyncs && upstream.quarantined_until <= m_now &&
          m_now - upstream.last_reply_at < kUnreachableAfter + upstream.sync_pause &&
          !m_domains_out_of_service.contains(upstream.listing.domain);
 }
@@ -150,7 +149,8 @@
   if (is_immediate && m_open_immediate_syncs >= kMaxOpenImmediateSyncs) return;
   if (is_immediate) ++m_open_immediate_syncs;
   // An upstream that does not reply gets no further lease, so that its tasks end at a known time.
-  const bool extends_lease = upstream.is_adopted && upstream.clock_ms > 0 && upstream.failed_syncs == 0;
+  const bool extends_lease =
+      upstream.is_adopted && upstream.clock_ms > 0 && upstream.failed_syncs == 0 && upstream.recorded_lease_end_ms == 0;
   order.lease_until_ms = extends_lease ? GrantLease(upstream) : 0;
   upstream.is_syncing = true;
   upstream.sync_sent_at = m_now;
@@ -182,6 +182,7 @@
     return;
   }
   upstream.failed_syncs = 0;
+  WithdrawLeaseBound(upstream);
   const bool was_adopted = upstream.is_adopted;
   const bool is_new_incarnation = upstream.incarnation != reply.incarnation && upstream.incarnation != 0;
   upstream.last_reply_at = m_now;
--- a/src/cell/upstream_state.h
+++ b/src/cell/upstream_state.h
@@ -32,6 +32,11 @@
   /// When the leases of all runs started here have expired, unless they are extended.
   Time leases_expire_at{};
 
+  /// End of the leases as recorded for a successor, on the clock of the store, 0 if it is not recorded. Leases are not
+  /// extended while it is.
+  std::int64_t recorded_lease_end_ms = 0;
+  bool withdraws_lease_bound = false;  ///< the next transaction removes the recorded end
+
   /// When a stop has to be sent again; not later than the first one due.
   Time next_stop = Time::max();
 
--- a/src/instance/cell_long_running_test.cc
+++ b/src/instance/cell_long_running_test.cc
@@ -84,6 +84,79 @@
                                          EndKind::kBroken, EndKind::kAlone),
                          [](const auto& info) { return std::string(ToString(info.param)); });
 
+/// Loses one of three upstreams for good, and the leader each time after a pause.
+/// @return how long the tasks of that upstream were down
+Duration TimeWithoutRuns(const std::vector<milliseconds>& pauses_before_takeover) {
+  constexpr std::size_t kTasks = 6;
+  SimulatedCluster cluster(4, 3);
+  cluster.Run(seconds(2));
+  cluster.Call(0, "POST", "service", "tasks=6 cpu=1000 lasts");
+  cluster.Run(seconds(2));
+  FakeUpstream* lost = nullptr;
+  for (const auto& upstream : cluster.fake_upstreams) {
+    if (upstream->running_tasks() > 0) lost = upstream.get();
+  }
+  EXPECT_NE(lost, nullptr);
+  const Time lost_at = cluster.queue.now();
+  lost->is_reachable = false;
+  lost->Restart();
+  for (const milliseconds pause : pauses_before_takeover) {
+    cluster.Run(pause);
+    cluster.Kill(cluster.Leader());
+    cluster.Run(seconds(2));
+  }
+  const auto count = [&cluster] {
+    std::size_t running = 0;
+    for (const auto& upstream : cluster.fake_upstreams) running += upstream->running_tasks();
+    return running;
+  };
+  while (count() < kTasks && cluster.queue.now() - lost_at < seconds(40)) cluster.Run(milliseconds(50));
+  ExpectNoViolation(cluster);
+  return cluster.queue.now() - lost_at;
+}
+
+/// A task that lasts may have no run for 3 s from 6 s after its last one, by the rules of the platform.
+constexpr milliseconds kMaxTimeWithoutRuns{9'000};
+
+// Guards against a takeover that makes tasks of a lost upstream wait for the longest possible lease from then on,
+// although the earlier leader knew when the last lease ended.
+TEST(CellLongRunningTest, TakeoverDoesNotProlongTheWaitForLeases) {
+  EXPECT_LT(TimeWithoutRuns({}), kMaxTimeWithoutRuns);
+  EXPECT_LT(TimeWithoutRuns({milliseconds(3'000)}), kMaxTimeWithoutRuns);
+  EXPECT_LT(TimeWithoutRuns({milliseconds(5'000)}), kMaxTimeWithoutRuns);
+}
+
+// Guards against the same with each further takeover.
+TEST(CellLongRunningTest, LaterTakeoversDoNotProlongTheWaitForLeases) {
+  EXPECT_LT(TimeWithoutRuns({milliseconds(3'000), milliseconds(1'000)}), kMaxTimeWithoutRuns);
+  // The first leader was lost before it noticed the loss of the upstream.
+  const Duration first = TimeWithoutRuns({milliseconds(100)});
+  EXPECT_LT(TimeWithoutRuns({milliseconds(100), milliseconds(1'000), milliseconds(1'000)}),
+            first + std::chrono::milliseconds(500));
+}
+
+// Guards against an upstream that replies again after its lease bound was recorded and never gets leases any more.
+TEST(CellLongRunningTest, UpstreamThatRepliesAgainKeepsItsTasks) {
+  SimulatedCluster cluster(2, 2);
+  cluster.Run(seconds(2));
+  cluster.Call(0, "POST", "service", "tasks=4 cpu=1000 lasts");
+  cluster.Run(seconds(2));
+  for (int round = 0; round < 3; ++round) {
+    for (const auto& upstream : cluster.fake_upstreams) upstream->is_reachable = false;
+    cluster.Run(seconds(4));
+    for (const auto& upstream : cluster.fake_upstreams) upstream->is_reachable = true;
+    cluster.Run(seconds(2));
+    cluster.Kill(cluster.Leader());
+    cluster.Run(seconds(2));
+    for (int i = 0; i < 2; ++i) {
+      if (!cluster.At(i).is_up) cluster.Restart(i);
+    }
+    cluster.Run(seconds(8));
+  }
+  for (const auto& [task, starts] : cluster.history.starts) EXPECT_EQ(starts, 1) << FormatTaskKey(task);
+  ExpectNoViolation(cluster);
+}
+
 // Guards against long-running tasks that stay on a draining upstream. When it had left, they were not restarted before
 // their leases had expired, up to 11 s after a takeover.
 TEST(CellLongRunningTest, TasksLeaveDrainingUpstreamInRounds) {
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cell/lease_record.h"
 #include "jobs/job_record.h"
 
 namespace jaymast {
@@ -44,10 +45,16 @@
   m_scheduler.SetNow(now);
   m_committer.OnTick(now);
   if (!m_are_jobs_loaded && !m_is_reading && now >= m_next_load_at) Load();
+  if (m_read_lease_bounds) {
+    m_scheduler.LoadLeaseBounds(*std::exchange(m_read_lease_bounds, std::nullopt), m_leases_read_at_ms);
+    m_are_leases_loaded = true;
+    CheckLoaded();
+  }
+  if (!m_are_leases_loaded && !m_is_reading_leases && now >= m_next_lease_load_at) LoadLeaseBounds();
   m_feeds->OnTick(now);
   m_scheduler.SetLeadershipStatus({m_committer.confirmed_at(), m_committer.IsStalled(now, kStoreStallThreshold),
                                    m_committer.IsStalled(now, kStoreOutageThreshold), m_committer.store_now_ms(now),
-                                   unix_now_ms});
+                                   m_committer.max_store_now_ms(now), unix_now_ms});
   ReportStoreStall();
   if (!m_is_loaded) return;
   m_scheduler.OnTick(now);
@@ -104,6 +111,29 @@
   FinishJobs(reply.now_ms);
 }
 
+void CellTerm::LoadLeaseBounds() {
+  m_is_reading_leases = true;
+  const std::string key = kLeaseKey;
+  m_store.Scan(kLeaderTable, key, key + '\x01', [this](const StateScanReply& reply) { OnLeaseBounds(reply); });
+}
+
+void CellTerm::OnLeaseBounds(const StateScanReply& reply) {
+  m_is_reading_leases = false;
+  if (!reply.is_available) {
+    m_next_lease_load_at = m_now + kLoadRetryDelay;
+    return;
+  }
+  m_read_lease_bounds.emplace();
+  m_leases_read_at_ms = reply.now_ms;
+  if (!reply.rows.empty()) {
+    const StateRow& row = reply.rows.front();
+    std::optional<LeaseBounds> bounds = DecodeLeaseBounds(row.value);
+    if (!bounds) m_events.Emit("record.unreadable", {{"path", row.table + "/" + row.key}});
+    m_read_lease_bounds = std::move(bounds).value_or(LeaseBounds{});
+  }
+  m_request_tick();
+}
+
 void CellTerm::OnRow(const StateRow& row) {
   std::optional<std::vector<LogRecord>> records = DecodeLogRow(row.value);
   if (!records) return m_events.Emit("record.unreadable", {{"path", row.table + "/" + row.key}});
@@ -165,7 +195,7 @@
 }
 
 void CellTerm::CheckLoaded() {
-  if (m_is_loaded || !m_are_jobs_loaded || !m_has_config || !m_has_upstream_list) return;
+  if (m_is_loaded || !m_are_jobs_loaded || !m_are_leases_loaded || !m_has_config || !m_has_upstream_list) return;
   m_is_loaded = true;
   m_events.Emit("term.ready", {{"epoch", std::to_string(m_committer.epoch())}});
   m_request_tick();
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -60,6 +61,8 @@
 
   void Load();
   void OnPage(const StateScanReply& reply);
+  void LoadLeaseBounds();
+  void OnLeaseBounds(const StateScanReply& reply);
   void OnRow(const StateRow& row);
   void AddJob(const JobId& id, const LoadedJob& loaded, std::int64_t store_now_ms);
   /// Applies the progress and occurrence records. Emits an event and returns false if one is unreadable.
@@ -79,7 +82,13 @@
   std::map<JobId, LoadedJob> m_loaded_jobs;
   std::string m_next_key;
   Time m_next_load_at{};
+  Time m_next_lease_load_at{};
   bool m_is_reading = false;
+  bool m_is_reading_leases = false;
+  /// Read but not applied yet: their remaining time counts from a tick after the read.
+  std::optional<LeaseBounds> m_read_lease_bounds;
+  std::int64_t m_leases_read_at_ms = 0;  ///< store clock
+  bool m_are_leases_loaded = false;
   bool m_are_jobs_loaded = false;
   bool m_has_config = false;
   bool m_has_upstream_list = false;
