Judge stalled runs by what one percent of their task takes

Callers saw: a task of ten minutes could never end. It was stopped every few seconds, and its sound upstream got no work for 4 s each time.

Cause: a run whose reported progress, a whole percentage, did not change for 2.5 s counted as stalled.

Ruled out: the upstreams; the same runs end if nothing stops them.

Change: the time is at least three times what one percent takes, by the estimate of the step and by the slowest percent of the run, and doubles with each stall of a task after the first, as estimates may be far too low.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -217,9 +217,9 @@
   bool MayMoveAnotherTask(const StepSpec& spec, const StepState& step);
   /// Whether an upstream that may run the step has free capacity for one task.
   bool HasCapacityFor(const Job& job, const StepSpec& spec) const;
-  bool IsStalled(const TaskState& task) const;
+  bool IsStalled(const StepSpec& spec, const TaskState& task) const;
   /// Whether a stalled member keeps its gang from completing, so that its upstream is the one to avoid.
-  bool HoldsUpGang(const StepState& step, const TaskState& member) const;
+  bool HoldsUpGang(const StepSpec& spec, const StepState& step, const TaskState& member) const;
   /// Keeps an upstream from getting tasks for a while.
   void Quarantine(UpstreamState& upstream, std::string_view reason);
 
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -32,6 +32,7 @@
   task.phase = TaskPhase::kAssigned;
   ++task.run;
   task.send_attempts = 0;
+  task.percent_duration = Duration::zero();
   --step.waiting;
   AllocateCapacity(job, key, task, upstream);
   MarkChanged(job, key.occurrence);
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -31,7 +31,13 @@
 /// Interval between checks for long-running tasks on draining upstreams.
 constexpr Duration kDrainCheckInterval{200'000};
 /// A run whose reported progress does not change for this time counts as stalled.
-constexpr Duration kStallTimeout{2'500'000};
+constexpr Duration kMinStallTimeout{2'500'000};
+/// The time is extended to this many times what one percent takes, as progress is reported in whole percentages.
+constexpr int kStallTimeoutPercents = 3;
+/// The time is doubled with each stall of a task after the first, up to this many times, as its estimate may be too
+/// low.
+constexpr int kMaxStallTimeoutDoublings = 10;
+constexpr std::int64_t kPercents = 100;
 /// An upstream where runs of several jobs fail, or a run stalls, gets no tasks for this time.
 constexpr Duration kQuarantine{4'000'000};
 constexpr int kQuarantineAfterFailures = 2;
@@ -231,6 +237,11 @@
     return;
   }
   if (task->percent != row.percent) {
+    // The first percent may include a wait for the other members of a gang.
+    if (task->phase == TaskPhase::kRunning && row.percent > task->percent && task->percent > 0) {
+      const Duration percent_duration = (m_now - task->progressed_at) / (row.percent - task->percent);
+      task->percent_duration = std::max(task->percent_duration, percent_duration);
+    }
     task->percent = row.percent;
     task->progressed_at = m_now;
   }
@@ -378,16 +389,18 @@
 void Scheduler::StopStalledRuns(UpstreamState& upstream) {
   for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) {
     TaskState* task = FindTask(key);
-    if (task == nullptr || !IsStalled(*task)) continue;
+    if (task == nullptr || task->phase != TaskPhase::kRunning) continue;
     Job& job = *FindJob(key.job);
     const StepSpec& spec = job.spec.steps[key.step];
-    if (spec.is_long_running) continue;
+    if (spec.is_long_running || !IsStalled(spec, *task)) continue;
     if (spec.is_gang) {
-      if (!HoldsUpGang(StepOf(job, key), *task)) continue;
+      if (!HoldsUpGang(spec, StepOf(job, key), *task)) continue;
+      ++task->stalls;
       Quarantine(upstream, "no progress of a gang member");
       AbortGang(job, key, "a member makes no progress");
       continue;
     }
+    ++task->stalls;
     Quarantine(upstream, "no progress");
     StopTask(job, key, *task, "no progress");
   }
@@ -432,19 +445,23 @@
   });
 }
 
-bool Scheduler::IsStalled(const TaskState& task) const {
-  return task.phase == TaskPhase::kRunning && m_now - task.progressed_at >= kStallTimeout;
+bool Scheduler::IsStalled(const StepSpec& spec, const TaskState& task) const {
+  const Duration estimated_percent = std::chrono::milliseconds(spec.estimate_ms) / kPercents;
+  const Duration percent_duration = std::max(estimated_percent, task.percent_duration);
+  const int doublings = std::clamp(task.stalls - 1, 0, kMaxStallTimeoutDoublings);
+  const Duration timeout = std::max(kMinStallTimeout, percent_duration * kStallTimeoutPercents) * (1 << doublings);
+  return task.phase == TaskPhase::kRunning && m_now - task.progressed_at >= timeout;
 }
 
-bool Scheduler::HoldsUpGang(const StepState& step, const TaskState& member) const {
+bool Scheduler::HoldsUpGang(const StepSpec& spec, const StepState& step, const TaskState& member) const {
   const auto is_running = [](const TaskState& other) { return other.phase == TaskPhase::kRunning; };
   if (!std::all_of(step.tasks.begin(), step.tasks.end(), is_running)) return false;
   // Members make no progress until the last one has started.
   const bool is_assembled = std::all_of(step.tasks.begin(), step.tasks.end(), [this](const TaskState& other) {
-    return m_now - other.confirmed_at >= kStallTimeout;
+    return m_now - other.confirmed_at >= kMinStallTimeout;
   });
   if (!is_assembled) return false;
-  const auto is_stalled = [this](const TaskState& other) { return IsStalled(other); };
+  const auto is_stalled = [this, &spec](const TaskState& other) { return IsStalled(spec, other); };
   if (std::all_of(step.tasks.begin(), step.tasks.end(), is_stalled)) {
     // The others may be waiting for the slowest one.
     return std::none_of(step.tasks.begin(), step.tasks.end(),
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -39,7 +39,7 @@
       };
       step.task_count = number("tasks", 1);
       step.demand = Resources{number("cpu", 1000), 100, 0, 0};
-      step.estimate_ms = number("ms", 500);
+      step.estimate_ms = number("estimate", number("ms", 500));
       step.is_gang = request.body.find("gang") != std::string::npos;
       step.is_long_running = request.body.find("lasts") != std::string::npos;
       step.same_rack = request.body.find("rack") != std::string::npos;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -59,6 +59,8 @@
   Time stop_retry_at = Time::max();  ///< when the stop is sent again
   Time progressed_at{};              ///< when the reported progress last changed
   std::int32_t percent = -1;
+  Duration percent_duration{};  ///< longest time that one percent took in this run, as reported
+  int stalls = 0;               ///< runs that were stopped because they made no progress
   std::int32_t checkpoint_percent = -1;  ///< progress at which the checkpoint was reported, -1 if unknown
   UpstreamId failed_on;                  ///< where the last run failed; avoided for the next one
 };
