Do not relay the expectation of an interim response

Callers saw: a request with "Expect: 100-continue" through an entry that does not lead got no final response.

Cause: the HTTP client passed the expectation on and took the interim response for the final one.

Change: the client drops the header, as it sends the body at once.

Result: HttpTest.RequestThatExpectsContinueGetsFinalResponse failed before (status 100, no body) and passes; 592 tests pass.

--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -29,6 +29,8 @@
   message.target(request.target);
   message.set(http::field::host, host);
   for (const auto& [name, value] : request.headers) message.set(name, value);
+  // The body is sent at once, so an interim response would be taken for the final one.
+  message.erase(http::field::expect);
   message.body() = std::move(request.body);
   // prepare_payload() throws for a method that does not allow a body, which a relayed request may have all the same.
   if (message.method() != http::verb::trace || message.body().empty()) {
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -72,6 +72,17 @@
   }
 }
 
+// Guards against an interim response that is taken for the final one of a relayed request.
+TEST_F(HttpTest, RequestThatExpectsContinueGetsFinalResponse) {
+  Listen(Echo);
+  BlockingHttpClient client;
+  const HttpRequest request{"POST", "/a", {{"Expect", "100-continue"}}, std::string(100'000, 'x')};
+  const HttpResult result = client.Call(m_server->address(), request, kTestTimeout);
+  ASSERT_EQ(result.status, SendStatus::kAnswered) << result.reason;
+  EXPECT_EQ(result.response.status, 200);
+  EXPECT_EQ(result.response.body, request.body);
+}
+
 // Guards against truncated bodies, and against a new connection for each request.
 TEST_F(HttpTest, ReturnsTheWholeBodyOverOneConnection) {
   Listen(Echo);
