Hide jobs from the keys of other organisations

Callers saw: the key of any organisation showed and cancelled the jobs of all others.

Cause: a key was checked for being known, and not against the organisation of the job.

Change: a job does not exist for the key of another organisation, except on a public queue or without an organisation.

--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -122,6 +122,12 @@
     if (!is_confirmed) return reply({ClientOutcome::kNotLeader});
     return reply({ClientOutcome::kQueueLength, {}, CountWaitingJobs(queue->id)});
   }
+  const bool is_hidden =
+      job != nullptr && !job->team.empty() && !team.empty() && job->team != team && !queue->is_public;
+  if (is_hidden && call.action != ClientAction::kSubmit) {
+    m_ports.events.Emit("job.hidden", {{"job", id.value()}, {"team", team.value()}});
+    return reply({is_confirmed ? ClientOutcome::kNoSuchJob : ClientOutcome::kNotLeader});
+  }
   if (call.action == ClientAction::kCancel) {
     // A revoked key must not cancel, so the configuration must be current.
     if (!is_config_fresh) return reply({ClientOutcome::kNotLeader});
--- a/src/instance/cell_jobs_test.cc
+++ b/src/instance/cell_jobs_test.cc
@@ -240,5 +240,26 @@
   EXPECT_NE(cluster.LastStatus("GET nothing2"), kNoSuchJob);
 }
 
+// Guards against one organisation that reads or cancels the jobs of another.
+TEST(CellJobsTest, JobsOfOtherOrganisationsAreHidden) {
+  SimulatedCluster cluster(2, 2);
+  cluster.config->teams[TeamId("other")] = TeamConfig{TeamId("other"), 1000, {}};
+  cluster.config->team_of_key["other"] = TeamId("other");
+  cluster.config->team_of_key["second"] = TeamId("team");
+  cluster.Run(seconds(2));
+  cluster.Call(0, "POST", "job1", "tasks=1 ms=3000");
+  cluster.Run(seconds(1));
+  cluster.Call(0, "GET", "job1", "", "other");
+  cluster.Call(1, "DELETE", "job1", "", "other");
+  cluster.Run(seconds(1));
+  EXPECT_EQ(cluster.LastStatus("GET job1"), kNoSuchJob);
+  EXPECT_EQ(cluster.LastStatus("DELETE job1"), kNoSuchJob);
+  cluster.Call(0, "GET", "job1", "", "second");
+  cluster.Run(seconds(1));
+  EXPECT_EQ(cluster.LastBody("GET job1"), "running");
+  cluster.Run(seconds(3));
+  EXPECT_EQ(GetJobState(cluster, 0, "job1"), "completed");
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -59,8 +59,8 @@
   Time stop_retry_at = Time::max();  ///< when the stop is sent again
   Time progressed_at{};              ///< when the reported progress last changed
   std::int32_t percent = -1;
-  Duration percent_duration{};  ///< longest time that one percent took in this run, as reported
-  int stalls = 0;               ///< runs that were stopped because they made no progress
+  Duration percent_duration{};           ///< longest time that one percent took in this run, as reported
+  int stalls = 0;                        ///< runs that were stopped because they made no progress
   std::int32_t checkpoint_percent = -1;  ///< progress at which the checkpoint was reported, -1 if unknown
   UpstreamId failed_on;                  ///< where the last run failed; avoided for the next one
 };
@@ -85,8 +85,8 @@
   std::map<UpstreamId, Ticket> tickets;         ///< of the upstreams that may run the step
   std::map<UpstreamId, bool> policy_decisions;  ///< whether each upstream asked about may run it
   int open_policy_calls = 0;
-  Time next_policy_call_at{};             ///< earliest next call to the policy service
-  bool can_fit_later = true;              ///< whether the usable upstreams could hold waiting tasks, as last checked
+  Time next_policy_call_at{};  ///< earliest next call to the policy service
+  bool can_fit_later = true;   ///< whether the usable upstreams could hold waiting tasks, as last checked
   Time next_fit_check_at{};
   std::int64_t waiting = 0;               ///< tasks without an upstream
   std::int64_t not_done = 0;              ///< tasks that are not done
