Bound the lease row by the longest ids, and compare start times without abs()

Found while reading the change: 200 ids of the maximum length with quotes would not fit into a row of the store, and abs() of the lowest integer overflows.

--- a/src/cell/lease_record.h
+++ b/src/cell/lease_record.h
@@ -18,8 +18,8 @@
 /// no leader extends its leases, so that a successor knows when they have surely ended.
 using LeaseBounds = std::map<UpstreamId, std::int64_t>;
 
-/// Upstreams in the row, so that it fits into one.
-inline constexpr std::size_t kMaxLeaseBounds = 200;
+/// Upstreams in the row. Their ids take up to 400 bytes each in JSON, and a row of the store holds 64 KiB.
+inline constexpr std::size_t kMaxLeaseBounds = 128;
 
 std::string EncodeLeaseBounds(const LeaseBounds& bounds);
 /// Returns nothing if the text is malformed.
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -72,7 +71,7 @@
   if (tasks > kMaxTasksOfOccurrence) {
     return fmt::format("the steps have {} tasks in all; the limit is {}", tasks, kMaxTasksOfOccurrence);
   }
-  if (std::abs(spec.start_at_unix_ms) > kMaxScheduleMs) {
+  if (spec.start_at_unix_ms < -kMaxScheduleMs || spec.start_at_unix_ms > kMaxScheduleMs) {
     return fmt::format("the first occurrence is due at {} ms; the limit is {}", spec.start_at_unix_ms, kMaxScheduleMs);
   }
   if (spec.interval_ms < 0 || spec.interval_ms > kMaxScheduleMs) {
