--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -363,7 +363,7 @@
   if (job.spec.repeat_count == 0) return true;
   const std::int64_t elapsed_ms = m_leadership.unix_now_ms - job.spec.start_at_unix_ms;
   if (elapsed_ms < 0) return false;
-  // A division, as the product with the number of the occurrence could overflow.
+  // The product of the interval and the number of the occurrence could overflow.
   return job.spec.interval_ms == 0 ||
          job.next_occurrence <= static_cast<std::size_t>(elapsed_ms / job.spec.interval_ms);
 }
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -236,7 +236,7 @@
   bool CanRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const;
   std::int64_t CountSlots(const StepRef& ref, const UpstreamState& upstream, const Resources& free_capacity) const;
   void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
-  /// Checks now and then whether a waiting step can run at all.
+  /// Updates `can_fit_later` of a waiting step, unless it was checked a short time ago.
   void CheckFit(const StepRef& ref);
   /// Whether the gang, or one task of another step, will fit on the usable upstreams once their other work has ended,
   /// except long-running tasks.
--- a/src/instance/cell_schedule_test.cc
+++ b/src/instance/cell_schedule_test.cc
@@ -74,7 +74,7 @@
 }
 
 // Guards against memory and transactions that grow with the number of occurrences that are due at the same time.
-TEST(CellScheduleTest, ManyDueOccurrencesAreOpenedByAndBy) {
+TEST(CellScheduleTest, ManyDueOccurrencesAreOpenedInPortions) {
   SimulatedCluster cluster(1, 4, 32'000);
   cluster.Run(seconds(2));
   cluster.Call(0, "POST", "burst", "tasks=500 cpu=10 ms=200 repeat=100 interval=0");
