Report steps that wait although their turn has come, and policy calls without a reply

Nothing in the logs told why a step waits: no event is emitted for a step that is not placed, and a lost policy call left no trace. The hypotheses of the incident could not be told apart.

The event step.waiting gives the reason once nothing of a step has run for 1.5 s, at most every 5 s for a step; policy.no_reply tells of lost calls; gauges show the longest wait, the waiting steps, open policy calls and paused callers.

--- a/src/cell/policy_call_dispatcher.cc
+++ b/src/cell/policy_call_dispatcher.cc
@@ -47,6 +47,19 @@
   return FindCaller(expected_ms, now).has_value();
 }
 
+std::size_t PolicyCallDispatcher::CountOpenCalls() const {
+  std::size_t count = 0;
+  for (const auto& [address, caller] : m_callers) {
+    count += static_cast<std::size_t>(caller.open_short_calls + caller.open_long_calls);
+  }
+  return count;
+}
+
+std::size_t PolicyCallDispatcher::CountBlockedCallers(Time now) const {
+  return static_cast<std::size_t>(std::count_if(m_callers.begin(), m_callers.end(),
+                                                [now](const auto& entry) { return entry.second.blocked_until > now; }));
+}
+
 bool PolicyCallDispatcher::TryCall(const PolicyRequest& request, Time now,
                                    std::function<void(const PolicyReply&)> done) {
   const std::optional<std::string> picked = FindCaller(request.expected_ms, now);
--- a/src/cell/policy_call_dispatcher.h
+++ b/src/cell/policy_call_dispatcher.h
@@ -30,6 +30,10 @@
   /// @return whether the call was made; only then is `done` called
   bool TryCall(const PolicyRequest& request, Time now, std::function<void(const PolicyReply&)> done);
 
+  std::size_t CountOpenCalls() const;
+  /// Instances that make no calls for a while, as one got no reply.
+  std::size_t CountBlockedCallers(Time now) const;
+
   /// Calls up to this length count as short.
   static constexpr std::int64_t kMaxShortCallMs = 60;
 
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -23,6 +23,7 @@
 #include "cell/refused_calls.h"
 #include "cell/upstream_client.h"
 #include "cell/upstream_state.h"
+#include "cell/wait_reason.h"
 #include "jobs/cell_config.h"
 #include "jobs/job.h"
 
@@ -95,6 +96,11 @@
   /// Pairs of a waiting step and an upstream that placement has examined, which its processor time grows with.
   std::uint64_t placement_checks() const { return m_placement_checks; }
   std::size_t CountUnacknowledgedEnds() const;
+  /// Longest time for which nothing of a step has run although its turn has come, as of the last placement pass.
+  Duration longest_wait() const { return m_longest_wait; }
+  /// Steps with waiting tasks, as of the last placement pass.
+  std::size_t waiting_steps() const { return m_waiting_steps; }
+  const PolicyCallDispatcher& policy_calls() const { return m_policy_calls; }
 
  private:
   /// Tasks of earlier leaders on unreachable upstreams have ended this long after the takeover, as no lease lasts
@@ -228,6 +234,9 @@
   void ListUsableUpstreams();
   static Urgency UrgencyOfLongRunning(const StepState& step);
   void PlaceStep(const StepRef& ref);
+  /// Emits an event if nothing of the step has run for long.
+  void ObserveWait(const StepRef& ref);
+  WaitReason FindWaitReason(const StepRef& ref) const;
   bool PlaceGang(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
   /// Gives all members the checkpoint of the most advanced one, as all members of a run must carry the same.
   static void ShareCheckpoint(StepState& step);
@@ -245,7 +254,8 @@
   /// Upstreams for which a step should request tickets: with free capacity first, none if its tickets are sufficient.
   std::vector<UpstreamId> ChooseUpstreamsToRequest(const StepRef& ref, const QueueConfig& queue);
   /// @param step_key key of the first task of the step
-  void OnPolicyReply(const TaskKey& step_key, const std::vector<UpstreamId>& requested,
+  /// @param request_sent_at when the call was made
+  void OnPolicyReply(const TaskKey& step_key, const PolicyRequest& request, Time request_sent_at,
                      const PolicyReply& policy_reply);
   /// Capacity that the limit of the organisation still allows it to allocate.
   Resources TeamFreeCapacity(const TeamId& team) const;
@@ -282,7 +292,9 @@
   bool m_is_retired = false;
   bool m_needs_placement = true;
   std::vector<std::pair<TaskKey, std::int32_t>> m_postponed_starts;  ///< until the leadership is confirmed
-  Time m_order_timed_out_at{};                                       ///< when an order or sync last got no reply
+  Duration m_longest_wait{};
+  std::size_t m_waiting_steps = 0;
+  Time m_order_timed_out_at{};  ///< when an order or sync last got no reply
   Time m_next_placement{};
   Time m_next_drain_check{};
   Time m_next_lease_check{};
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -185,6 +185,7 @@
     task->phase = TaskPhase::kRunning;
     task->confirmed_at = m_now;
     task->progressed_at = m_now;
+    StepOf(job, key).idle_since = Time{};
     MarkStarted(job);
     return;
   }
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -34,6 +34,9 @@
 /// Capacity is reserved for a gang after it has waited this long.
 constexpr Duration kReservationDelay{1'500'000};
 
+/// A step of which nothing has run for this time is reported, and again after the interval.
+constexpr Duration kReportedWait{1'500'000};
+constexpr Duration kWaitReportInterval{5'000'000};
 /// Time between two checks whether a waiting step can run at all.
 constexpr Duration kFitCheckInterval{500'000};
 
@@ -54,6 +57,11 @@
   return true;
 }
 
+/// @param key of any task of the step
+std::string FormatStep(const TaskKey& key) {
+  return fmt::format("{}.{}.{}", key.job.value(), key.occurrence, key.step);
+}
+
 /// Demand of all tasks of a step.
 Resources TotalDemand(const StepSpec& spec) {
   const Resources& one = spec.demand;
@@ -66,6 +74,8 @@
   m_needs_placement = false;
   m_next_placement = m_now + kIdlePlacementInterval;
   m_reserved_upstreams.clear();
+  m_longest_wait = Duration::zero();
+  m_waiting_steps = 0;
   std::vector<StepRef> refs;
   if (m_config == nullptr) return;
   for (const auto& [id, active] : m_active) {
@@ -79,7 +89,10 @@
       Occurrence& occurrence = entry.second;
       if (occurrence.is_done) continue;
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-        if (occurrence.steps[s].waiting == 0) continue;
+        if (occurrence.steps[s].waiting == 0) {
+          ObserveWait({&job, k, s});
+          continue;
+        }
         const auto& dependencies = job.spec.steps[s].dependencies;
         const bool is_ready =
             std::all_of(dependencies.begin(), dependencies.end(),
@@ -98,7 +111,71 @@
     return std::tie(a.urgency, a.priority, a.objective, a.job->id, a.occurrence, a.step) <
            std::tie(b.urgency, b.priority, b.objective, b.job->id, b.occurrence, b.step);
   });
-  for (const StepRef& ref : refs) PlaceStep(ref);
+  m_waiting_steps = refs.size();
+  for (const StepRef& ref : refs) {
+    PlaceStep(ref);
+    ObserveWait(ref);
+  }
+}
+
+void Scheduler::ObserveWait(const StepRef& ref) {
+  StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
+  if (step.idle_since == Time{}) {
+    // The time of a step whose tasks were all assigned again counts on.
+    if (step.waiting == 0 || step.waiting < step.not_done) return;
+    step.idle_since = m_now;
+  }
+  if (step.not_done == 0) return;
+  const Duration wait = m_now - step.idle_since;
+  m_longest_wait = std::max(m_longest_wait, wait);
+  if (wait < kReportedWait || m_now < step.next_wait_report_at) return;
+  step.next_wait_report_at = m_now + kWaitReportInterval;
+  const auto denied = std::count_if(step.policy_decisions.begin(), step.policy_decisions.end(),
+                                    [](const auto& decision) { return !decision.second; });
+  m_ports.events.Emit("step.waiting", {{"step", FormatStep({ref.job->id, ref.occurrence, ref.step, 0})},
+                                       {"reason", std::string(ToString(FindWaitReason(ref)))},
+                                       {"waited_ms", std::to_string(ToMillis(wait))},
+                                       {"waiting_tasks", std::to_string(step.waiting)},
+                                       {"tickets", std::to_string(step.tickets.size())},
+                                       {"denied_upstreams", std::to_string(denied)},
+                                       {"waiting_steps", std::to_string(m_waiting_steps)}});
+}
+
+WaitReason Scheduler::FindWaitReason(const StepRef& ref) const {
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  const StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
+  const bool has_open_orders = step.waiting == 0 || (spec.is_gang && step.waiting < spec.task_count);
+  const QueueConfig* queue = QueueOf(*ref.job);
+  if (has_open_orders || queue == nullptr) return WaitReason::kOrdersOpen;
+  const Resources demand = spec.is_gang ? TotalDemand(spec) : spec.demand;
+  if (!demand.FitsIn(TeamFreeCapacity(ref.job->team))) return WaitReason::kTeamLimit;
+  const std::int64_t needed = spec.is_gang ? spec.task_count : 1;
+  bool has_upstream = false;
+  std::int64_t free_slots = 0;
+  std::int64_t allowed_slots = 0;
+  std::int64_t unreserved_slots = 0;
+  std::int64_t ticket_slots = 0;
+  for (const auto& [free_cpu, upstream] : m_by_free_cpu) {
+    if (!CanRunOn(spec, *queue, *upstream)) continue;
+    has_upstream = true;
+    const std::int64_t slots = CountSlots(ref, *upstream, upstream->FreeCapacity());
+    free_slots += slots;
+    const auto decision = step.policy_decisions.find(upstream->listing.id);
+    if (decision != step.policy_decisions.end() && !decision->second) continue;
+    allowed_slots += slots;
+    if (!spec.is_gang && m_reserved_upstreams.contains(upstream->listing.id)) continue;
+    unreserved_slots += slots;
+    const auto ticket = step.tickets.find(upstream->listing.id);
+    if (ticket != step.tickets.end() && ticket->second.expiry > m_now + kTicketMargin) ticket_slots += slots;
+  }
+  if (!has_upstream) return WaitReason::kNoUpstream;
+  if (free_slots < needed) return WaitReason::kNoCapacity;
+  if (allowed_slots < needed) return WaitReason::kDenied;
+  if (unreserved_slots < needed) return WaitReason::kReserved;
+  if (!queue->policy || ticket_slots >= needed) return spec.same_rack ? WaitReason::kRack : WaitReason::kNoCapacity;
+  if (step.open_policy_calls > 0) return WaitReason::kPolicyCallOpen;
+  const bool can_call = m_policy_calls.CanCall(static_cast<std::int64_t>(queue->policy->call_ms), m_now);
+  return can_call ? WaitReason::kNoTicket : WaitReason::kNoPolicyCaller;
 }
 
 void Scheduler::ListUsableUpstreams() {
@@ -373,17 +450,25 @@
       std::ceil(policy_config.call_ms + policy_config.per_upstream_ms * static_cast<double>(request.upstreams.size())));
   const TaskKey step_key{ref.job->id, ref.occurrence, ref.step, 0};
   const bool is_sent = m_policy_calls.TryCall(
-      request, m_now, [this, step_key, requested = request.upstreams](const PolicyReply& policy_reply) {
-        OnPolicyReply(step_key, requested, policy_reply);
+      request, m_now, [this, step_key, request, sent_at = m_now](const PolicyReply& policy_reply) {
+        OnPolicyReply(step_key, request, sent_at, policy_reply);
       });
   if (is_sent) ++step.open_policy_calls;
 }
 
-void Scheduler::OnPolicyReply(const TaskKey& step_key, const std::vector<UpstreamId>& requested,
+void Scheduler::OnPolicyReply(const TaskKey& step_key, const PolicyRequest& request, Time request_sent_at,
                               const PolicyReply& policy_reply) {
+  const std::vector<UpstreamId>& requested = request.upstreams;
   Job* job = FindJob(step_key.job);
   m_needs_placement = true;
-  if (m_is_retired || job == nullptr || FindTask(step_key) == nullptr) return;
+  if (m_is_retired) return;
+  if (!policy_reply.is_answered) {
+    m_ports.events.Emit("policy.no_reply", {{"step", FormatStep(step_key)},
+                                            {"upstreams", std::to_string(requested.size())},
+                                            {"expected_ms", std::to_string(request.expected_ms)},
+                                            {"waited_ms", std::to_string(ToMillis(m_now - request_sent_at))}});
+  }
+  if (job == nullptr || FindTask(step_key) == nullptr) return;
   StepState& step = StepOf(*job, step_key);
   --step.open_policy_calls;
   step.next_policy_call_at = m_now + kPolicyRequestInterval;
--- a/src/cell_testing/fake_upstream.h
+++ b/src/cell_testing/fake_upstream.h
@@ -21,6 +21,7 @@
   std::map<TaskKey, int> running;  ///< number of active runs
   std::map<TaskKey, int> starts;
   std::map<TaskKey, int> done;
+  std::map<TaskKey, int> failed;
   std::set<TaskKey> acknowledged_done;
   std::map<std::pair<TaskKey, std::int32_t>, std::set<std::size_t>> gang_members_at_100;  ///< by first member and run
   std::map<std::pair<TaskKey, std::int32_t>, std::set<std::string>> gang_checkpoints;     ///< carried by the starts
@@ -58,6 +59,7 @@
     ExtendLease(order.lease_until_ms);
     const auto found = m_running.find(order.task);
     if (found != m_running.end() && found->second.run == order.run) return reply;
+    if (accepts_ticket && !accepts_ticket(order, m_listing)) return {OrderStatus::kBadTicket, ClockMs()};
     if (m_highest_run[order.task] >= order.run) return {OrderStatus::kStaleRun, ClockMs()};
     if (found != m_running.end()) return {OrderStatus::kStaleRun, ClockMs()};
     Resources used = work.demand;
@@ -112,6 +114,11 @@
 
   bool Runs(const TaskKey& task) const { return m_running.contains(task); }
 
+  /// Calls `action` with each active run and its demand.
+  void ForEachRun(const std::function<void(const TaskKey&, const Resources&)>& action) const {
+    for (const auto& [key, run] : m_running) action(key, run.work.demand);
+  }
+
   /// Ends a run.
   void EndRun(const TaskKey& task, EndKind kind) { End(task, kind); }
 
@@ -148,11 +155,14 @@
           continue;
         }
       }
-      End(key, run.work.fails ? EndKind::kFailed : EndKind::kDone);
+      End(key, run.work.fails || fails_runs ? EndKind::kFailed : EndKind::kDone);
     }
   }
 
+  /// Whether a start carries a valid ticket; not checked if empty.
+  std::function<bool(const StartOrder&, const UpstreamListing&)> accepts_ticket;
   bool is_reachable = true;
+  bool fails_runs = false;    ///< runs fail at their end
   bool stands_still = false;  ///< runs stay at 10 percent
   int slowdown = 1;           ///< runs that start now take this many times as long
 
@@ -209,6 +219,7 @@
     m_highest_run[key] = std::max(m_highest_run[key], run.run);
     --m_history.running[key];
     if (kind == EndKind::kDone) ++m_history.done[key];
+    if (kind == EndKind::kFailed) ++m_history.failed[key];
     m_ends.push_back({++m_last_end, key, run.run, kind, Checkpoint(key, run)});
     const auto waiting = m_waiting_syncs;
     for (const auto& [number, done] : waiting) ReplyToWaiting(number);
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -13,9 +13,8 @@
 #include <utility>
 #include <vector>
 
-#include "cell_testing/event_queue.h"
+#include "cell_testing/fake_site.h"
 #include "cell_testing/fake_store.h"
-#include "cell_testing/fake_upstream.h"
 #include "instance/cell_instance.h"
 
 namespace jaymast {
@@ -30,28 +29,7 @@
     if (!key.empty()) call.key = std::string(key);
     if (request.method == "POST") {
       call.action = ClientAction::kSubmit;
-      JobSpec spec;
-      spec.payload = request.body;
-      StepSpec step;
-      const auto number = [&request](const std::string& name, std::int64_t fallback) {
-        const std::size_t at = request.body.find(name + "=");
-        return at == std::string::npos ? fallback : std::stoll(request.body.substr(at + name.size() + 1));
-      };
-      step.task_count = number("tasks", 1);
-      step.demand = Resources{number("cpu", 1000), 100, 0, 0};
-      step.estimate_ms = number("estimate", number("ms", 500));
-      step.is_gang = request.body.find("gang") != std::string::npos;
-      step.is_long_running = request.body.find("lasts") != std::string::npos;
-      step.same_rack = request.body.find("rack") != std::string::npos;
-      spec.steps.push_back(step);
-      for (std::int64_t i = 1; i < number("steps", 1); ++i) {
-        step.dependencies = {static_cast<std::size_t>(i - 1)};
-        spec.steps.push_back(step);
-      }
-      spec.repeat_count = number("repeat", 0);
-      spec.start_at_unix_ms = number("start", 0);
-      spec.interval_ms = number("interval", 0);
-      call.spec = std::move(spec);
+      call.spec = ParseJobSpec(request.body);
     } else if (request.method == "DELETE") {
       call.action = ClientAction::kCancel;
     } else if (request.target.ends_with('/')) {
@@ -78,30 +56,38 @@
   static constexpr int kNotRun = 503;
 };
 
-/// Prints events with simulated time if JAYMAST_TEST_EVENTS is set, to trace a failed fault schedule.
+/// Counts events by reason, and prints them with simulated time if JAYMAST_TEST_EVENTS is set, to trace a failed fault
+/// schedule.
 class TraceEvents : public CellEventSink {
  public:
   explicit TraceEvents(const EventQueue& queue) : m_queue(queue) {}
   void Emit(std::string_view event, EventFields fields) override {
+    for (const auto& [name, value] : fields) {
+      if (name == "reason") ++m_counts[{std::string(event), value}];
+    }
     if (!m_is_enabled) return;
     std::cout << ToMillis(m_queue.now().time_since_epoch()) << " " << event;
     for (const auto& [name, value] : fields) std::cout << " " << name << "=" << value;
     std::cout << "\n";
   }
 
+  int Count(const std::string& event, const std::string& reason) const {
+    const auto found = m_counts.find({event, reason});
+    return found == m_counts.end() ? 0 : found->second;
+  }
+
  private:
   const EventQueue& m_queue;
+  std::map<std::pair<std::string, std::string>, int> m_counts;
   const bool m_is_enabled = std::getenv("JAYMAST_TEST_EVENTS") != nullptr;
 };
 
 /// Runs several instances with a fake store, fake upstreams and a fake policy service on one simulated clock.
-class SimulatedCluster {
+class SimulatedCluster : public FakeSite {
  public:
   static constexpr Duration kTick{10'000};
-  static constexpr int kRackSize = 3;
   static constexpr Duration kPeerLatency{1'000};
   static constexpr Duration kOrderTimeout{250'000};
-  static constexpr Duration kLastingRunTime{3'600'000'000};
 
   struct Instance {
     std::string address;
@@ -116,37 +102,15 @@
     std::uint64_t process_incarnation = 0;
   };
 
-  explicit SimulatedCluster(int instances, int upstreams, std::int64_t cpu_millis = 8000) : store(queue) {
-    config = std::make_shared<CellConfig>();
-    config->version = 1;
-    QueueConfig queue_config;
-    queue_config.id = QueueId("q");
-    queue_config.prefix = "/q/";
-    queue_config.service = ServiceId("s");
-    queue_config.max_attempts = 3;
-    queue_config.stretch = 4;
-    queue_config.target_duration_ms = 5000;
-    config->queues.push_back(queue_config);
-    config->teams[TeamId("team")] = TeamConfig{TeamId("team"), 1000, {}};
-    config->team_of_key["key"] = TeamId("team");
-    for (int i = 0; i < upstreams; ++i) {
-      UpstreamListing listing;
-      listing.id = UpstreamId("u" + std::to_string(i));
-      listing.service = ServiceId("s");
-      listing.address = listing.id.value();
-      listing.domain = DomainId("d" + std::to_string(i % 3));
-      listing.capacity = Resources{cpu_millis, 100'000, 0, 0};
-      listing.rack = "r" + std::to_string(i / kRackSize);
-      listing.incarnation = 1;
-      fake_upstreams.push_back(std::make_unique<FakeUpstream>(queue, history, listing));
-    }
+  explicit SimulatedCluster(int instances, int upstreams, std::int64_t cpu_millis = 8000)
+      : FakeSite(upstreams, cpu_millis), store(queue) {
     for (int i = 0; i < instances; ++i) {
       this->instances.push_back(std::make_unique<Instance>());
       Instance& instance = *this->instances.back();
       instance.address = "i" + std::to_string(i);
       instance.store = std::make_unique<FakeStoreClient>(queue, store);
       instance.upstreams = std::make_unique<FakeUpstreamClient>(*this, instance);
-      instance.policy = std::make_unique<FakePolicyClient>(*this);
+      instance.policy = std::make_unique<FakePolicyClient>(*this, instance);
       StartInstance(instance);
     }
   }
@@ -173,17 +137,23 @@
   }
 
   /// Sends a client call to an instance. The response is added to `responses`.
+  /// @param job of the queue "q", or QUEUE/JOB
   void Call(int index, const std::string& method, const std::string& job, const std::string& body = "",
             const std::string& key = "key", std::int64_t client_timeout_ms = 0) {
     HttpRequest request;
     request.method = method;
-    request.target = "/q/" + job;
+    request.target = (job.find('/') == std::string::npos ? "/q/" : "/") + job;
     request.body = body;
     request.headers = {{"Key", key}, {"Patience", std::to_string(client_timeout_ms)}};
     Instance& instance = At(index);
     if (!instance.is_up) return;
-    instance.cell->OnClientRequest(std::move(request), [this, method, job](const HttpResponse& response) {
+    const std::string id = job.substr(job.find('/') + 1);
+    if (method == "POST") AddSubmission(id, request.target, body, key);
+    if (method == "DELETE") submissions[id].is_cancelled = true;
+    instance.cell->OnClientRequest(std::move(request), [this, method, job, id](const HttpResponse& response) {
       responses[method + " " + job].push_back(response);
+      const bool is_accepted = method == "POST" && response.status == static_cast<int>(ClientOutcome::kAccepted);
+      if (is_accepted) submissions[id].is_accepted = true;
     });
   }
 
@@ -198,26 +168,15 @@
   }
 
   Instance& At(int index) { return *instances[static_cast<std::size_t>(index)]; }
-  FakeUpstream* FindUpstream(const std::string& address) {
-    for (const auto& upstream : fake_upstreams) {
-      if (upstream->listing().address == address) return upstream.get();
-    }
-    return nullptr;
-  }
 
-  EventQueue queue;
   FakeStore store;
-  RunHistory history;
-  std::shared_ptr<CellConfig> config;
-  std::set<DomainId> domains_out_of_service;
-  std::vector<std::unique_ptr<FakeUpstream>> fake_upstreams;
+  TraceEvents events{queue};
   std::vector<std::unique_ptr<Instance>> instances;
   std::map<std::string, std::vector<HttpResponse>> responses;
   std::function<bool(const StartOrder&)> drops_start;        ///< the order is lost
   std::function<bool(const StartOrder&)> drops_start_reply;  ///< the order is executed, but the reply is lost
   std::function<Duration(const StartOrder&)> start_delay;    ///< the order arrives late and gets no reply
   std::function<OrderStatus(const StartOrder&)> start_status;
-  int policy_calls = 0;
   int syncs = 0;
   int max_open_immediate_syncs = 0;          ///< of one instance at a time, without those that wait for an end
   std::map<std::string, int> peer_messages;  ///< by the address of the sender
@@ -233,8 +192,9 @@
       const auto late = m_cluster.start_delay ? m_cluster.start_delay(order) : Duration::zero();
       if (late > Duration::zero() && upstream != nullptr) {
         // Orders queued in an upstream are lost with its process.
-        m_cluster.queue.After(late, [upstream, order, process_incarnation = upstream->listing().incarnation] {
-          if (upstream->listing().incarnation == process_incarnation) upstream->Start(order, ParseWork(order));
+        m_cluster.queue.After(late, [this, upstream, order, process_incarnation = upstream->listing().incarnation] {
+          if (upstream->listing().incarnation == process_incarnation)
+            upstream->Start(order, m_cluster.MakeWork(order.payload));
         });
       }
       if (is_lost || late > Duration::zero()) return RunLater(kOrderTimeout, [done] { done({}); });
@@ -243,7 +203,7 @@
         if (status != OrderStatus::kAccepted) return RunLater(kPeerLatency, [done, status] { done({status, 0}); });
       }
       m_cluster.queue.After(kPeerLatency, [this, upstream, order, done] {
-        const OrderReply reply = upstream->Start(order, ParseWork(order));
+        const OrderReply reply = upstream->Start(order, m_cluster.MakeWork(order.payload));
         const bool drops_reply = m_cluster.drops_start_reply && m_cluster.drops_start_reply(order);
         RunLater(drops_reply ? kOrderTimeout : kPeerLatency,
                  [done, reply, drops_reply] { done(drops_reply ? OrderReply{} : reply); });
@@ -283,25 +243,6 @@
     }
 
    private:
-    static FakeWork ParseWork(const StartOrder& order) {
-      FakeWork work;
-      const auto number = [&order](const std::string& name, std::int64_t fallback) {
-        const std::size_t at = order.payload.find(name + "=");
-        return at == std::string::npos ? fallback : std::stoll(order.payload.substr(at + name.size() + 1));
-      };
-      work.run_time = std::chrono::milliseconds(number("ms", 500));
-      work.demand = Resources{number("cpu", 1000), 100, 0, 0};
-      if (order.payload.find("gang") != std::string::npos) {
-        work.gang_size = static_cast<std::size_t>(number("tasks", 1));
-      }
-      work.fails = order.payload.find("fails") != std::string::npos;
-      // A task that lasts works until it is stopped or fails.
-      work.lasts = order.payload.find("lasts") != std::string::npos;
-      if (work.lasts && !work.fails) work.run_time = kLastingRunTime;
-      work.hangs = order.payload.find("hangs") != std::string::npos;
-      return work;
-    }
-
     FakeUpstream* FindReachable(const UpstreamTarget& target) {
       FakeUpstream* upstream = m_cluster.FindUpstream(target.address);
       const bool is_partitioned = m_instance.unreachable.contains(target.address);
@@ -319,22 +260,29 @@
     int m_open_immediate_syncs = 0;
   };
 
+  /// Connection of one instance to the policy service, which gives up late calls like the one of the platform.
   class FakePolicyClient : public PolicyClient {
    public:
-    explicit FakePolicyClient(SimulatedCluster& cluster) : m_cluster(cluster) {}
+    FakePolicyClient(SimulatedCluster& cluster, Instance& instance) : m_cluster(cluster), m_instance(instance) {}
     void RequestTickets(const std::string& /*caller*/, const PolicyRequest& policy_request,
                         std::function<void(PolicyReply)> done) override {
-      ++m_cluster.policy_calls;
-      PolicyReply policy_reply;
-      policy_reply.is_answered = true;
-      policy_reply.ticket_ms = 2000;
-      for (const UpstreamId& id : policy_request.upstreams) policy_reply.tickets.emplace_back(id, "ticket");
-      m_cluster.queue.After(std::chrono::milliseconds(policy_request.expected_ms),
-                            [done, policy_reply] { done(policy_reply); });
+      auto is_done = std::make_shared<bool>(false);
+      const auto once = [done, is_done](const PolicyReply& reply) {
+        if (std::exchange(*is_done, true)) return;
+        done(reply);
+      };
+      const auto timeout = std::chrono::milliseconds(policy_request.expected_ms) + kPolicyTimeoutMargin;
+      m_cluster.RunLaterOn(m_instance, timeout, [once] { once({}); });
+      m_cluster.policy_service.Call(m_instance.address, policy_request, [this, once](const PolicyReply& reply) {
+        m_cluster.RunLaterOn(m_instance, kPeerLatency, [once, reply] { once(reply); });
+      });
     }
 
    private:
+    static constexpr Duration kPolicyTimeoutMargin{400'000};
+
     SimulatedCluster& m_cluster;
+    Instance& m_instance;
   };
 
   class FakeFeeds : public CellFeeds {
@@ -380,7 +328,7 @@
     CellInstance::Ports ports{*instance.store,
                               *instance.upstreams,
                               *instance.policy,
-                              m_events,
+                              events,
                               instance.codec,
                               [this, &instance](const std::string& address, HttpRequest request, Time deadline,
                                                 const std::function<void(PeerResult)>& done) {
@@ -427,7 +375,6 @@
     });
   }
 
-  TraceEvents m_events{queue};
   std::vector<std::unique_ptr<CellInstance>> m_stopped_cells;  ///< pending callbacks refer to them
 };
 
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -391,6 +391,10 @@
   gauges["jaymast_usable_upstreams"] = static_cast<double>(scheduler.CountUsableUpstreams());
   gauges["jaymast_placement_checks"] = static_cast<double>(scheduler.placement_checks());
   gauges["jaymast_unacknowledged_ends"] = static_cast<double>(scheduler.CountUnacknowledgedEnds());
+  gauges["jaymast_longest_wait_seconds"] = std::chrono::duration<double>(scheduler.longest_wait()).count();
+  gauges["jaymast_waiting_steps"] = static_cast<double>(scheduler.waiting_steps());
+  gauges["jaymast_open_policy_calls"] = static_cast<double>(scheduler.policy_calls().CountOpenCalls());
+  gauges["jaymast_blocked_policy_callers"] = static_cast<double>(scheduler.policy_calls().CountBlockedCallers(m_now));
   gauges["jaymast_followers"] = static_cast<double>(m_followers.size());
   return gauges;
 }
--- a/src/instance/cell_jobs_test.cc
+++ b/src/instance/cell_jobs_test.cc
@@ -41,7 +41,7 @@
   cluster.Run(seconds(2));
   cluster.Call(0, "POST", "job1", "tasks=4 ms=300 gang");
   cluster.Run(seconds(2));
-  EXPECT_GE(cluster.policy_calls, 1);
+  EXPECT_GE(cluster.policy_service.calls, 1);
   EXPECT_EQ(GetJobState(cluster, 0, "job1"), "completed");
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -88,9 +88,11 @@
   Time next_policy_call_at{};  ///< earliest next call to the policy service
   bool can_fit_later = true;   ///< whether the usable upstreams could hold waiting tasks, as last checked
   Time next_fit_check_at{};
-  std::int64_t waiting = 0;               ///< tasks without an upstream
-  std::int64_t not_done = 0;              ///< tasks that are not done
-  bool is_gang_done = false;              ///< one member has completed, which completes all
+  Time idle_since{};           ///< since when its turn has come and nothing of it has run, zero if something runs
+  Time next_wait_report_at{};  ///< earliest next event about the wait
+  std::int64_t waiting = 0;    ///< tasks without an upstream
+  std::int64_t not_done = 0;   ///< tasks that are not done
+  bool is_gang_done = false;   ///< one member has completed, which completes all
   std::int32_t last_failed_gang_run = 0;  ///< highest run of the gang that was counted as failed
 };
 
