--- a/src/cell_testing/fake_site.h
+++ b/src/cell_testing/fake_site.h
@@ -54,6 +54,7 @@
   /// A submitted job.
   struct Submission {
     JobSpec spec;
+    std::string path;  ///< of the call
     std::string key;
     bool has_policy = false;
     bool is_accepted = false;
@@ -86,6 +87,7 @@
                      const std::string& key) {
     Submission& submission = submissions[id];
     submission.spec = ParseJobSpec(payload);
+    submission.path = path;
     submission.key = key;
     const QueueConfig* queue_config = config->FindQueue("", path);
     submission.has_policy = queue_config != nullptr && queue_config->policy.has_value();
--- a/src/cell_testing/progress_monitor.h
+++ b/src/cell_testing/progress_monitor.h
@@ -94,13 +94,6 @@
         usage.total.memory_mb * 2 >= usage.capacity.memory_mb) {
       return {};
     }
-    const auto team = m_site.config->team_of_key.find(submission.key);
-    const auto used = usage.by_key.find(submission.key);
-    if (team != m_site.config->team_of_key.end() && used != usage.by_key.end()) {
-      const Resources& limit = m_site.config->teams.at(team->second).limit;
-      if (limit.cpu_millis > 0 && used->second.cpu_millis * 2 >= limit.cpu_millis) return {};
-      if (limit.memory_mb > 0 && used->second.memory_mb * 2 >= limit.memory_mb) return {};
-    }
     for (std::size_t s = 0; s < submission.spec.steps.size(); ++s) {
       const StepSpec& spec = submission.spec.steps[s];
       const bool is_ready =
@@ -110,6 +103,7 @@
       const std::int64_t open = CountOpenTasks(job, submission.spec, s);
       if (!is_ready || open == 0 || HasUnacknowledgedEnd(job, spec, s)) continue;
       const std::int64_t wanted = spec.is_gang ? spec.task_count : 1;
+      if (!IsBelowLimit(submission.key, usage, spec.demand, wanted)) continue;
       const std::int64_t places = CountPlaces(job, submission, s);
       if (places >= 2 * wanted) {
         return "step " + std::to_string(s) + " has " + std::to_string(places) + " places and wants " +
@@ -119,6 +113,20 @@
     return {};
   }
 
+  /// Whether the organisation uses less than half of its limit, and the tasks fit under it.
+  bool IsBelowLimit(const std::string& key, const Usage& usage, const Resources& demand, std::int64_t tasks) const {
+    const auto team = m_site.config->team_of_key.find(key);
+    if (team == m_site.config->team_of_key.end()) return true;
+    const Resources& limit = m_site.config->teams.at(team->second).limit;
+    const auto found = usage.by_key.find(key);
+    const Resources used = found == usage.by_key.end() ? Resources{} : found->second;
+    const auto is_below = [tasks](std::int64_t bound, std::int64_t in_use, std::int64_t each) {
+      return bound == 0 || (in_use * 2 < bound && in_use + each * tasks <= bound);
+    };
+    return is_below(limit.cpu_millis, used.cpu_millis, demand.cpu_millis) &&
+           is_below(limit.memory_mb, used.memory_mb, demand.memory_mb);
+  }
+
   std::int64_t CountOpenTasks(const JobId& job, const JobSpec& spec, std::size_t step) const {
     std::int64_t open = 0;
     for (std::int64_t i = 0; i < spec.steps[step].task_count; ++i) {
