Keep calls to the policy service until they are answered, and queue none behind a late one

Callers saw accepted jobs with nothing running for up to 56 s on idle upstreams (soak with policy replies up to 1.2 s late).

Cause: a call was given up 0.4 s after its expected end, while the service went on with it; the next call of that instance waited behind it and was given up as well. The pause after a lost call counted from the start of the call, so for long calls it was over when it began. The load thus kept itself up after its cause was gone (a metastable failure). A caller that was removed and added again while it had an open call also counted as free.

Ruled out: replies that are not delivered (done is called for each), and a lost allocation, as tickets were never issued.

Change: the timeout is twice the expected duration plus 1 s plus three times the recent lateness, and doubles with each call without a reply. An instance makes no call while one is overdue, a second short one only if replies are on time, and one at a time after a lost reply. The pause after a lost reply begins with its timeout. Open calls of removed callers are kept.

--- a/src/cell/policy_call_dispatcher.cc
+++ b/src/cell/policy_call_dispatcher.cc
@@ -10,42 +10,56 @@
 constexpr int kMaxOpenShortCalls = 2;
 /// One in this many instances is reserved for short calls.
 constexpr std::size_t kInstancesPerShortCallReserve = 4;
-/// An instance whose call got no reply is not used for this time.
-constexpr Duration kFailureBackoff{1'000'000};
+/// An instance whose call got no reply is not used for this time, doubled with each further one.
+constexpr Duration kFailureBackoff{500'000};
+/// A call is overdue this long after its expected end.
+constexpr Duration kOverdueMargin{400'000};
+/// Timeout of a call: a multiple of its expected duration, and a part for calls that the service handles before it.
+constexpr std::int64_t kTimeoutFactor = 2;
+constexpr std::int64_t kTimeoutMarginMs = 1000;
+/// Part of the timeout for late replies, as a multiple of their mean lateness.
+constexpr std::int64_t kLatenessFactor = 3;
+constexpr int kLatenessWeight = 5;  ///< the newest reply counts as one in this many
+/// With later replies a second call would only wait at the service.
+constexpr Duration kMaxLatenessForSecondCall{100'000};
+constexpr int kMaxDoublings = 3;
 
 }  // namespace
 
 void PolicyCallDispatcher::SetPolicyCallers(const std::vector<std::string>& addresses) {
-  std::map<std::string, Caller> callers;
-  for (const std::string& address : addresses) {
-    const auto found = m_callers.find(address);
-    callers[address] = found == m_callers.end() ? Caller{} : found->second;
-  }
-  m_callers = std::move(callers);
+  for (auto& [address, caller] : m_callers) caller.is_listed = false;
+  for (const std::string& address : addresses) m_callers[address].is_listed = true;
+  std::erase_if(m_callers, [](const auto& entry) {
+    const Caller& caller = entry.second;
+    return !caller.is_listed && caller.open_short_calls + caller.open_long_calls == 0;
+  });
 }
 
 std::size_t PolicyCallDispatcher::MaxLongCalls() const {
-  const std::size_t count = m_callers.size();
+  const auto count = static_cast<std::size_t>(
+      std::count_if(m_callers.begin(), m_callers.end(), [](const auto& entry) { return entry.second.is_listed; }));
   if (count < 2) return count;
   return count - (count + kInstancesPerShortCallReserve - 1) / kInstancesPerShortCallReserve;
 }
 
-std::optional<std::string> PolicyCallDispatcher::FindCaller(std::int64_t expected_ms, Time now) const {
+std::optional<std::string> PolicyCallDispatcher::FindCaller(std::int64_t expected_ms) const {
   const bool is_short = expected_ms <= kMaxShortCallMs;
   if (!is_short && m_open_long_calls >= MaxLongCalls()) return std::nullopt;
   std::optional<std::string> best;
   int best_open = is_short ? kMaxOpenShortCalls : 1;
   for (const auto& [address, caller] : m_callers) {
-    if (caller.blocked_until > now || caller.open_long_calls > 0 || caller.open_short_calls >= best_open) continue;
+    if (!caller.is_listed || caller.blocked_until > m_now || caller.open_long_calls > 0) continue;
+    if (caller.open_short_calls >= best_open) continue;
+    const bool may_wait =
+        caller.unanswered_calls > 0 || m_now >= caller.overdue_at || m_lateness > kMaxLatenessForSecondCall;
+    if (caller.open_short_calls > 0 && may_wait) continue;
     best_open = caller.open_short_calls;
     best = address;
   }
   return best;
 }
 
-bool PolicyCallDispatcher::CanCall(std::int64_t expected_ms, Time now) const {
-  return FindCaller(expected_ms, now).has_value();
-}
+bool PolicyCallDispatcher::CanCall(std::int64_t expected_ms) const { return FindCaller(expected_ms).has_value(); }
 
 std::size_t PolicyCallDispatcher::CountOpenCalls() const {
   std::size_t count = 0;
@@ -55,36 +69,58 @@
   return count;
 }
 
-std::size_t PolicyCallDispatcher::CountBlockedCallers(Time now) const {
-  return static_cast<std::size_t>(std::count_if(m_callers.begin(), m_callers.end(),
-                                                [now](const auto& entry) { return entry.second.blocked_until > now; }));
+std::size_t PolicyCallDispatcher::CountBlockedCallers() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_callers.begin(), m_callers.end(), [this](const auto& entry) { return entry.second.blocked_until > m_now; }));
 }
 
-bool PolicyCallDispatcher::TryCall(const PolicyRequest& request, Time now,
-                                   std::function<void(const PolicyReply&)> done) {
-  const std::optional<std::string> picked = FindCaller(request.expected_ms, now);
+bool PolicyCallDispatcher::TryCall(PolicyRequest request, std::function<void(const PolicyReply&)> done) {
+  const std::optional<std::string> picked = FindCaller(request.expected_ms);
   if (!picked) return false;
-  const std::string& address = *picked;
-  Caller* caller = &m_callers[address];
+  Caller& caller = m_callers[*picked];
   const bool is_short = request.expected_ms <= kMaxShortCallMs;
   if (is_short) {
-    ++caller->open_short_calls;
+    ++caller.open_short_calls;
   } else {
-    ++caller->open_long_calls;
+    ++caller.open_long_calls;
     ++m_open_long_calls;
   }
-  m_client.RequestTickets(address, request,
-                          [this, address, is_short, now, done = std::move(done)](const PolicyReply& reply) {
-                            if (!is_short) --m_open_long_calls;
-                            const auto found = m_callers.find(address);
-                            if (found != m_callers.end()) {
-                              int& open = is_short ? found->second.open_short_calls : found->second.open_long_calls;
-                              open = std::max(0, open - 1);
-                              if (!reply.is_answered) found->second.blocked_until = now + kFailureBackoff;
-                            }
+  const Duration expected = std::chrono::milliseconds(request.expected_ms);
+  caller.overdue_at = std::max(m_now + kOverdueMargin, caller.overdue_at) + expected;
+  const int doublings = std::min(caller.unanswered_calls, kMaxDoublings);
+  const std::int64_t margin_ms = kTimeoutMarginMs + kLatenessFactor * ToMillis(m_lateness);
+  request.timeout_ms = (kTimeoutFactor * request.expected_ms + margin_ms) << doublings;
+  m_client.RequestTickets(*picked, request,
+                          [this, address = *picked, is_short, expected_at = m_now + expected,
+                           done = std::move(done)](const PolicyReply& reply) {
+                            OnReply(address, is_short, expected_at, reply);
                             done(reply);
                           });
   return true;
 }
 
+void PolicyCallDispatcher::OnReply(const std::string& address, bool is_short, Time expected_at,
+                                   const PolicyReply& reply) {
+  if (reply.is_answered || reply.may_be_pending) {
+    const Duration lateness = std::max(Duration::zero(), m_now - expected_at);
+    m_lateness += (lateness - m_lateness) / kLatenessWeight;
+  }
+  if (!is_short) --m_open_long_calls;
+  const auto found = m_callers.find(address);
+  Caller& caller = found->second;
+  --(is_short ? caller.open_short_calls : caller.open_long_calls);
+  const bool has_open_calls = caller.open_short_calls + caller.open_long_calls > 0;
+  if (!has_open_calls) caller.overdue_at = Time{};
+  if (!caller.is_listed && !has_open_calls) {
+    m_callers.erase(found);
+    return;
+  }
+  if (reply.is_answered) {
+    caller.unanswered_calls = 0;
+    return;
+  }
+  caller.blocked_until = m_now + kFailureBackoff * (1 << std::min(caller.unanswered_calls, kMaxDoublings));
+  if (reply.may_be_pending) ++caller.unanswered_calls;
+}
+
 }  // namespace jaymast
--- a/src/cell/policy_client.h
+++ b/src/cell/policy_client.h
@@ -20,10 +20,12 @@
   std::size_t step = 0;
   std::vector<UpstreamId> upstreams;
   std::int64_t expected_ms = 0;  ///< expected duration of the call
+  std::int64_t timeout_ms = 0;   ///< time after which the call is given up
 };
 
 struct PolicyReply {
   bool is_answered = false;
+  bool may_be_pending = false;  ///< there is no reply, and the service may still handle the call
   std::vector<std::pair<UpstreamId, std::string>> tickets;  ///< one for each upstream that may run the step
   std::int64_t ticket_ms = 0;                               ///< validity of the tickets, 0 if not reported
 };
--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -99,8 +99,13 @@
   m_needs_placement = true;
 }
 
-void Scheduler::OnTick(Time now) {
+void Scheduler::SetNow(Time now) {
   m_now = now;
+  m_policy_calls.SetNow(now);
+}
+
+void Scheduler::OnTick(Time now) {
+  SetNow(now);
   SendPostponedStarts();
   SyncDueUpstreams();
   LeaveDrainingUpstreams();
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -81,7 +81,7 @@
 
   void OnClientCall(const ClientCall& call, const ClientReplyFunction& reply);
   /// Sets the current time until the next tick.
-  void SetNow(Time now) { m_now = now; }
+  void SetNow(Time now);
   void OnTick(Time now);
 
   /// Returns the rows that have changed since the last call.
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -174,7 +174,7 @@
   if (unreserved_slots < needed) return WaitReason::kReserved;
   if (!queue->policy || ticket_slots >= needed) return spec.same_rack ? WaitReason::kRack : WaitReason::kNoCapacity;
   if (step.open_policy_calls > 0) return WaitReason::kPolicyCallOpen;
-  const bool can_call = m_policy_calls.CanCall(static_cast<std::int64_t>(queue->policy->call_ms), m_now);
+  const bool can_call = m_policy_calls.CanCall(static_cast<std::int64_t>(queue->policy->call_ms));
   return can_call ? WaitReason::kNoTicket : WaitReason::kNoPolicyCaller;
 }
 
@@ -436,7 +436,7 @@
   StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   if (step.open_policy_calls > 0 || m_now < step.next_policy_call_at) return;
   const PolicyConfig& policy_config = *queue.policy;
-  if (!m_policy_calls.CanCall(static_cast<std::int64_t>(policy_config.call_ms), m_now)) return;
+  if (!m_policy_calls.CanCall(static_cast<std::int64_t>(policy_config.call_ms))) return;
   PolicyRequest request;
   request.job = ref.job->id;
   request.occurrence = ref.occurrence;
@@ -449,8 +449,8 @@
   request.expected_ms = static_cast<std::int64_t>(
       std::ceil(policy_config.call_ms + policy_config.per_upstream_ms * static_cast<double>(request.upstreams.size())));
   const TaskKey step_key{ref.job->id, ref.occurrence, ref.step, 0};
-  const bool is_sent = m_policy_calls.TryCall(
-      request, m_now, [this, step_key, request, sent_at = m_now](const PolicyReply& policy_reply) {
+  const bool is_sent =
+      m_policy_calls.TryCall(request, [this, step_key, request, sent_at = m_now](const PolicyReply& policy_reply) {
         OnPolicyReply(step_key, request, sent_at, policy_reply);
       });
   if (is_sent) ++step.open_policy_calls;
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -271,16 +271,16 @@
         if (std::exchange(*is_done, true)) return;
         done(reply);
       };
-      const auto timeout = std::chrono::milliseconds(policy_request.expected_ms) + kPolicyTimeoutMargin;
-      m_cluster.RunLaterOn(m_instance, timeout, [once] { once({}); });
+      PolicyReply no_reply;
+      no_reply.may_be_pending = true;
+      m_cluster.RunLaterOn(m_instance, std::chrono::milliseconds(policy_request.timeout_ms),
+                           [once, no_reply] { once(no_reply); });
       m_cluster.policy_service.Call(m_instance.address, policy_request, [this, once](const PolicyReply& reply) {
         m_cluster.RunLaterOn(m_instance, kPeerLatency, [once, reply] { once(reply); });
       });
     }
 
    private:
-    static constexpr Duration kPolicyTimeoutMargin{400'000};
-
     SimulatedCluster& m_cluster;
     Instance& m_instance;
   };
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -37,8 +37,8 @@
 constexpr std::int64_t kMarginDivisor = 4;  ///< the margin is at most the timeout divided by this
 /// An ended term is kept for this time, as open calls may refer to it. No call has a later deadline.
 constexpr Duration kEndedTermRetention{12'000'000};
-/// Time allowed beyond the expected duration of a policy call made by another instance.
-constexpr std::int64_t kPolicyMarginMs = 600;
+/// Time allowed beyond the timeout of a policy call made by another instance.
+constexpr std::int64_t kPolicyMarginMs = 200;
 /// An instance with a smaller CPU share leads only if no larger one does: a leader uses 0.2 cores at 350 upstreams.
 constexpr std::int64_t kPreferredLeaderCpuMillis = 200;
 /// A leader yields to a follower with this many times its CPU share, but not right after a takeover.
@@ -231,11 +231,13 @@
 void CellInstance::RequestTickets(const std::string& caller, const PolicyRequest& policy_request,
                                   std::function<void(PolicyReply)> done) {
   if (caller.empty()) return m_ports.policy.RequestTickets("", policy_request, std::move(done));
-  const Time deadline = m_now + std::chrono::milliseconds(policy_request.expected_ms + kPolicyMarginMs);
+  const Time deadline = m_now + std::chrono::milliseconds(policy_request.timeout_ms + kPolicyMarginMs);
   m_ports.send_peer(caller, PeerMessage(kPolicyCallPath, EncodePolicyRequest(policy_request)), deadline,
                     [done = std::move(done)](const PeerResult& result) {
-                      const bool is_ok = result.is_answered && result.response.status == kStatusOk;
-                      done(is_ok ? DecodePolicyReply(result.response.body).value_or(PolicyReply{}) : PolicyReply{});
+                      PolicyReply unanswered;
+                      unanswered.may_be_pending = result.was_sent;
+                      if (!result.is_answered) return done(unanswered);
+                      done(DecodePolicyReply(result.response.body).value_or(unanswered));
                     });
 }
 
@@ -394,7 +396,7 @@
   gauges["jaymast_longest_wait_seconds"] = std::chrono::duration<double>(scheduler.longest_wait()).count();
   gauges["jaymast_waiting_steps"] = static_cast<double>(scheduler.waiting_steps());
   gauges["jaymast_open_policy_calls"] = static_cast<double>(scheduler.policy_calls().CountOpenCalls());
-  gauges["jaymast_blocked_policy_callers"] = static_cast<double>(scheduler.policy_calls().CountBlockedCallers(m_now));
+  gauges["jaymast_blocked_policy_callers"] = static_cast<double>(scheduler.policy_calls().CountBlockedCallers());
   gauges["jaymast_followers"] = static_cast<double>(m_followers.size());
   return gauges;
 }
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -83,6 +83,7 @@
                                       {"occurrence", policy_request.occurrence},
                                       {"step", policy_request.step},
                                       {"expected_ms", policy_request.expected_ms},
+                                      {"timeout_ms", policy_request.timeout_ms},
                                       {"upstreams", std::move(upstreams)}});
 }
 
@@ -95,6 +96,7 @@
   policy_request.occurrence = static_cast<std::size_t>(reader.Int("occurrence", 0, 0, kMaxInt));
   policy_request.step = static_cast<std::size_t>(reader.Int("step", 0, 0, kMaxInt));
   policy_request.expected_ms = reader.Int("expected_ms", 0, 0, kMaxInt);
+  policy_request.timeout_ms = reader.Int("timeout_ms", policy_request.expected_ms, 0, kMaxInt);
   if (const json::array* upstreams = reader.Array("upstreams")) {
     for (const json::value& id : *upstreams) {
       if (!id.is_string()) return std::nullopt;
@@ -108,8 +110,10 @@
 std::string EncodePolicyReply(const PolicyReply& policy_reply) {
   json::array tickets;
   for (const auto& [id, ticket] : policy_reply.tickets) tickets.push_back(json::array{id.value(), ticket});
-  return json::serialize(json::object{
-      {"answered", policy_reply.is_answered}, {"ticket_ms", policy_reply.ticket_ms}, {"tickets", std::move(tickets)}});
+  return json::serialize(json::object{{"answered", policy_reply.is_answered},
+                                      {"pending", policy_reply.may_be_pending},
+                                      {"ticket_ms", policy_reply.ticket_ms},
+                                      {"tickets", std::move(tickets)}});
 }
 
 std::optional<PolicyReply> DecodePolicyReply(std::string_view text) {
@@ -118,6 +122,7 @@
   FieldReader reader(*object, "answer");
   PolicyReply policy_reply;
   policy_reply.is_answered = reader.Bool("answered", false);
+  policy_reply.may_be_pending = reader.Bool("pending", false);
   policy_reply.ticket_ms = reader.Int("ticket_ms", 0, 0, kMaxInt);
   if (const json::array* tickets = reader.Array("tickets")) {
     for (const json::value& row : *tickets) {
