Give policy calls first to steps that could start, and some to the one that has waited longest

Callers saw accepted jobs with nothing running for seconds on idle upstreams while others of the same queue went on later.

Cause: all waiting steps asked for tickets in the order of urgency at each pass and again whenever these ran out, also those that no ticket could help: at the limit of their organisation, or gangs for which no upstreams have capacity. A gang's call takes 0.5 to 1 s, so some ten waiting gangs kept all instances busy, and later or less urgent steps with capacity got no call. Nothing bounded their wait (starvation by unbounded speculative work). A step whose reply was lost also made no second call before the first one timed out.

Ruled out on the decision core: the order of placement, the limits and the capacity as the leader counts them; the event step.waiting gave no_policy_caller for the jobs that stood still.

Change: calls are made after the placement pass, first for steps that could start if the policy allowed the upstreams with capacity, and for gangs for which upstreams are reserved. Of these calls one in four goes to the step that has waited longest, if nothing of it has run for 2 s. All other calls leave a third of the instances for long calls free. A step makes a second call when the first one is overdue, if an instance is left.

--- a/src/cell/policy_call_dispatcher.cc
+++ b/src/cell/policy_call_dispatcher.cc
@@ -10,6 +10,8 @@
 constexpr int kMaxOpenShortCalls = 2;
 /// One in this many instances is reserved for short calls.
 constexpr std::size_t kInstancesPerShortCallReserve = 4;
+/// Calls with tickets for later leave one in this many of the instances for long calls free.
+constexpr std::size_t kCallersPerStartReserve = 3;
 /// An instance whose call got no reply is not used for this time, doubled with each further one.
 constexpr Duration kFailureBackoff{500'000};
 /// A call is overdue this long after its expected end.
@@ -42,11 +44,15 @@
   return count - (count + kInstancesPerShortCallReserve - 1) / kInstancesPerShortCallReserve;
 }
 
-std::optional<std::string> PolicyCallDispatcher::FindCaller(std::int64_t expected_ms) const {
+std::optional<std::string> PolicyCallDispatcher::FindCaller(std::int64_t expected_ms, Purpose purpose) const {
   const bool is_short = expected_ms <= kMaxShortCallMs;
-  if (!is_short && m_open_long_calls >= MaxLongCalls()) return std::nullopt;
+  const bool is_prefetch = purpose == Purpose::kPrefetch;
+  const std::size_t max_long_calls = MaxLongCalls();
+  const std::size_t reserve =
+      is_prefetch ? (max_long_calls + kCallersPerStartReserve - 1) / kCallersPerStartReserve : 0;
+  if (!is_short && m_open_long_calls + reserve >= max_long_calls) return std::nullopt;
   std::optional<std::string> best;
-  int best_open = is_short ? kMaxOpenShortCalls : 1;
+  int best_open = is_short && !is_prefetch ? kMaxOpenShortCalls : 1;
   for (const auto& [address, caller] : m_callers) {
     if (!caller.is_listed || caller.blocked_until > m_now || caller.open_long_calls > 0) continue;
     if (caller.open_short_calls >= best_open) continue;
@@ -59,7 +65,9 @@
   return best;
 }
 
-bool PolicyCallDispatcher::CanCall(std::int64_t expected_ms) const { return FindCaller(expected_ms).has_value(); }
+bool PolicyCallDispatcher::CanCall(std::int64_t expected_ms, Purpose purpose) const {
+  return FindCaller(expected_ms, purpose).has_value();
+}
 
 std::size_t PolicyCallDispatcher::CountOpenCalls() const {
   std::size_t count = 0;
@@ -74,8 +82,9 @@
       m_callers.begin(), m_callers.end(), [this](const auto& entry) { return entry.second.blocked_until > m_now; }));
 }
 
-bool PolicyCallDispatcher::TryCall(PolicyRequest request, std::function<void(const PolicyReply&)> done) {
-  const std::optional<std::string> picked = FindCaller(request.expected_ms);
+bool PolicyCallDispatcher::TryCall(PolicyRequest request, Purpose purpose,
+                                   std::function<void(const PolicyReply&)> done) {
+  const std::optional<std::string> picked = FindCaller(request.expected_ms, purpose);
   if (!picked) return false;
   Caller& caller = m_callers[*picked];
   const bool is_short = request.expected_ms <= kMaxShortCallMs;
--- a/src/cell/policy_call_dispatcher.h
+++ b/src/cell/policy_call_dispatcher.h
@@ -30,12 +30,18 @@
   /// Replaces the instances that make calls, given by peer address. The empty address stands for this instance.
   void SetPolicyCallers(const std::vector<std::string>& addresses);
 
+  /// What a call is for.
+  enum class Purpose {
+    kStart,     ///< tasks can start with the tickets
+    kPrefetch,  ///< nothing can start yet; leaves some instances free for calls of the other kind
+  };
+
   /// Whether TryCall() would make a call that takes `expected_ms`.
-  bool CanCall(std::int64_t expected_ms) const;
+  bool CanCall(std::int64_t expected_ms, Purpose purpose = Purpose::kStart) const;
 
   /// Makes a call if an instance is free for it.
   /// @return whether the call was made; only then is `done` called
-  bool TryCall(PolicyRequest request, std::function<void(const PolicyReply&)> done);
+  bool TryCall(PolicyRequest request, Purpose purpose, std::function<void(const PolicyReply&)> done);
 
   std::size_t CountOpenCalls() const;
   /// Instances that make no calls for a while, as one got no reply.
@@ -55,7 +61,7 @@
   };
 
   /// Address of the instance that should make the call, or nothing if all are busy.
-  std::optional<std::string> FindCaller(std::int64_t expected_ms) const;
+  std::optional<std::string> FindCaller(std::int64_t expected_ms, Purpose purpose) const;
   std::size_t MaxLongCalls() const;
   void OnReply(const std::string& address, bool is_short, Time expected_at, const PolicyReply& reply);
 
--- a/src/cell/policy_call_dispatcher_test.cc
+++ b/src/cell/policy_call_dispatcher_test.cc
@@ -35,9 +35,11 @@
   dispatch.SetPolicyCallers({"", "a", "b", "c", "d", "e", "f", "g"});
   dispatch.SetNow(Time(Duration(1)));
   int long_calls = 0;
-  for (int i = 0; i < 20; ++i) long_calls += dispatch.TryCall(MakeRequest(600), [](const PolicyReply&) {}) ? 1 : 0;
+  for (int i = 0; i < 20; ++i)
+    long_calls +=
+        dispatch.TryCall(MakeRequest(600), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}) ? 1 : 0;
   EXPECT_EQ(long_calls, 6);
-  EXPECT_TRUE(dispatch.TryCall(MakeRequest(17), [](const PolicyReply&) {}));
+  EXPECT_TRUE(dispatch.TryCall(MakeRequest(17), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
 }
 
 // Guards against a second long call at an instance, which would wait for the first.
@@ -46,12 +48,12 @@
   PolicyCallDispatcher dispatch(client);
   dispatch.SetPolicyCallers({"", "a"});
   dispatch.SetNow(Time(Duration(1)));
-  EXPECT_TRUE(dispatch.TryCall(MakeRequest(600), [](const PolicyReply&) {}));
-  EXPECT_FALSE(dispatch.TryCall(MakeRequest(600), [](const PolicyReply&) {}));
+  EXPECT_TRUE(dispatch.TryCall(MakeRequest(600), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
+  EXPECT_FALSE(dispatch.TryCall(MakeRequest(600), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
   PolicyReply reply;
   reply.is_answered = true;
   client.calls.front().second(reply);
-  EXPECT_TRUE(dispatch.TryCall(MakeRequest(600), [](const PolicyReply&) {}));
+  EXPECT_TRUE(dispatch.TryCall(MakeRequest(600), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
 }
 
 // Guards against repeated calls through an instance that does not reply.
@@ -60,7 +62,7 @@
   PolicyCallDispatcher dispatch(client);
   dispatch.SetPolicyCallers({"a"});
   dispatch.SetNow(Time(Duration(1)));
-  ASSERT_TRUE(dispatch.TryCall(MakeRequest(17), [](const PolicyReply&) {}));
+  ASSERT_TRUE(dispatch.TryCall(MakeRequest(17), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
   client.calls.front().second({});
   EXPECT_FALSE(dispatch.CanCall(17));
   dispatch.SetNow(Time(Duration(1) + std::chrono::seconds(2)));
@@ -73,7 +75,7 @@
   PolicyCallDispatcher dispatch(client);
   dispatch.SetPolicyCallers({"a"});
   dispatch.SetNow(Time(Duration(1)));
-  ASSERT_TRUE(dispatch.TryCall(MakeRequest(17), [](const PolicyReply&) {}));
+  ASSERT_TRUE(dispatch.TryCall(MakeRequest(17), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
   EXPECT_TRUE(dispatch.CanCall(17));
   dispatch.SetNow(Time(Duration(1) + std::chrono::milliseconds(600)));
   EXPECT_FALSE(dispatch.CanCall(17));
@@ -87,7 +89,7 @@
   Time now(Duration(1));
   const auto call = [&] {
     dispatch.SetNow(now);
-    EXPECT_TRUE(dispatch.TryCall(MakeRequest(100), [](const PolicyReply&) {}));
+    EXPECT_TRUE(dispatch.TryCall(MakeRequest(100), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
     return client.requests.back().timeout_ms;
   };
   const std::int64_t first_ms = call();
@@ -109,13 +111,26 @@
   PolicyCallDispatcher dispatch(client);
   dispatch.SetPolicyCallers({"a", "b"});
   dispatch.SetNow(Time(Duration(1)));
-  ASSERT_TRUE(dispatch.TryCall(MakeRequest(600), [](const PolicyReply&) {}));
+  ASSERT_TRUE(dispatch.TryCall(MakeRequest(600), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
   ASSERT_EQ(client.calls.back().first, "a");
   dispatch.SetPolicyCallers({"b"});
   dispatch.SetPolicyCallers({"a", "b"});
-  ASSERT_TRUE(dispatch.TryCall(MakeRequest(17), [](const PolicyReply&) {}));
+  ASSERT_TRUE(dispatch.TryCall(MakeRequest(17), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
   EXPECT_EQ(client.calls.back().first, "b");
 }
 
+// Guards against calls for steps that can't start which take all instances from those that can.
+TEST(PolicyCallDispatcherTest, PrefetchLeavesInstancesFree) {
+  RecordingPolicyClient client;
+  PolicyCallDispatcher dispatch(client);
+  dispatch.SetPolicyCallers({"", "a", "b", "c", "d", "e", "f", "g"});
+  dispatch.SetNow(Time(Duration(1)));
+  int calls = 0;
+  while (dispatch.TryCall(MakeRequest(600), PolicyCallDispatcher::Purpose::kPrefetch, [](const PolicyReply&) {}))
+    ++calls;
+  EXPECT_EQ(calls, 4);
+  EXPECT_TRUE(dispatch.TryCall(MakeRequest(600), PolicyCallDispatcher::Purpose::kStart, [](const PolicyReply&) {}));
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -131,6 +131,7 @@
     Urgency urgency = Urgency::kTimely;
     std::int64_t priority = 0;
     Time objective{};
+    bool reserves_upstreams = false;  ///< a gang for which upstreams are reserved once it has tickets
   };
 
   // scheduler.cc
@@ -244,13 +245,20 @@
   std::vector<UpstreamState*> FindCandidates(const StepRef& ref);
   bool CanRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const;
   std::int64_t CountSlots(const StepRef& ref, const UpstreamState& upstream, const Resources& free_capacity) const;
+  bool MayReserveUpstreams(const StepRef& ref) const;
   void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
   /// Updates `can_fit_later` of a waiting step, unless it was checked a short time ago.
   void CheckFit(const StepRef& ref);
   /// Whether the gang, or one task of another step, will fit on the usable upstreams once their other work has ended,
   /// except long-running tasks.
   bool CanFitLater(const StepRef& ref) const;
-  void RequestTickets(const StepRef& ref, const QueueConfig& queue);
+  /// Requests tickets for waiting steps: first for those whose tasks could start at once, in the order of the placement
+  /// pass; one in some calls goes to the one that has waited longest.
+  void RequestTicketsFor(const std::vector<StepRef>& steps);
+  /// @return whether a call was made
+  bool RequestTickets(const StepRef& ref, PolicyCallDispatcher::Purpose purpose);
+  /// Whether tasks of the step could start at once if the policy allowed the upstreams it has not decided on.
+  bool CouldStart(const StepRef& ref) const;
   /// Upstreams for which a step should request tickets: with free capacity first, none if its tickets are sufficient.
   std::vector<UpstreamId> ChooseUpstreamsToRequest(const StepRef& ref, const QueueConfig& queue);
   /// @param step_key key of the first task of the step
@@ -287,6 +295,9 @@
   std::vector<std::pair<std::int64_t, UpstreamState*>> m_by_free_cpu;
   mutable std::uint64_t m_placement_checks = 0;
   std::set<UpstreamId> m_reserved_upstreams;  ///< for waiting gangs, within one placement pass
+  int m_reserving_gangs = 0;                  ///< within one placement pass
+  std::vector<StepRef> m_ticket_seekers;      ///< waiting steps of queues with a policy, within one placement pass
+  int m_calls_since_longest_waiting = 0;      ///< policy calls since the last one for the step that has waited longest
   std::uint64_t m_token_counter = 0;
   std::size_t m_open_immediate_syncs = 0;
   bool m_is_retired = false;
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -27,6 +27,11 @@
 constexpr std::size_t kMaxRequestedUpstreams = 100;  ///< limit of the policy service
 /// Delay after a reply before the next request for the same step.
 constexpr Duration kPolicyRequestInterval{120'000};
+/// A step for which nothing runs may make a second call this long after the expected reply to the first.
+constexpr Duration kPolicyOverdueMargin{400'000};
+/// One in this many policy calls goes to the step that has waited longest, if nothing of it has run for this time.
+constexpr int kCallsPerLongestWaiting = 4;
+constexpr Duration kMaxTicketWait{2'000'000};
 /// Delay before the upstreams are examined again for a step that had none to request tickets for.
 constexpr Duration kPolicyScanInterval{50'000};
 /// Gangs for which capacity is reserved in one pass.
@@ -74,6 +79,8 @@
   m_needs_placement = false;
   m_next_placement = m_now + kIdlePlacementInterval;
   m_reserved_upstreams.clear();
+  m_reserving_gangs = 0;
+  m_ticket_seekers.clear();
   m_longest_wait = Duration::zero();
   m_waiting_steps = 0;
   std::vector<StepRef> refs;
@@ -116,6 +123,7 @@
     PlaceStep(ref);
     ObserveWait(ref);
   }
+  RequestTicketsFor(m_ticket_seekers);
 }
 
 void Scheduler::ObserveWait(const StepRef& ref) {
@@ -268,9 +276,12 @@
     if (step.waiting == 0) return;
   }
   CheckFit(ref);
-  if (spec.is_gang && step.can_fit_later) ReserveUpstreams(ref, candidates);
-  const QueueConfig& queue = *QueueOf(*ref.job);
-  if (queue.policy) RequestTickets(ref, queue);
+  StepRef seeker = ref;
+  if (spec.is_gang && step.can_fit_later && MayReserveUpstreams(ref)) {
+    ReserveUpstreams(ref, candidates);
+    seeker.reserves_upstreams = m_reserving_gangs++ < kMaxReservingGangs;
+  }
+  if (QueueOf(*ref.job)->policy) m_ticket_seekers.push_back(seeker);
 }
 
 bool Scheduler::PlaceGang(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
@@ -343,11 +354,14 @@
   }
 }
 
+bool Scheduler::MayReserveUpstreams(const StepRef& ref) const {
+  if (ref.urgency > Urgency::kTimely || m_now - ref.job->accepted < kReservationDelay) return false;
+  return TotalDemand(ref.job->spec.steps[ref.step]).FitsIn(TeamFreeCapacity(ref.job->team));
+}
+
 void Scheduler::ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
   if (m_reserved_upstreams.size() >= candidates.size() + kMaxReservingGangs * kMinRequestedUpstreams) return;
-  if (ref.urgency > Urgency::kTimely || m_now - ref.job->accepted < kReservationDelay) return;
   const StepSpec& spec = ref.job->spec.steps[ref.step];
-  if (!TotalDemand(spec).FitsIn(TeamFreeCapacity(ref.job->team))) return;
   std::vector<UpstreamState*> ordered = candidates;
   std::stable_sort(ordered.begin(), ordered.end(), [](const auto* a, const auto* b) {
     return a->FreeCapacity().cpu_millis > b->FreeCapacity().cpu_millis;
@@ -432,11 +446,69 @@
   return chosen;
 }
 
-void Scheduler::RequestTickets(const StepRef& ref, const QueueConfig& queue) {
+bool Scheduler::CouldStart(const StepRef& ref) const {
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  const StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
+  const QueueConfig& queue = *QueueOf(*ref.job);
+  if (!(spec.is_gang ? TotalDemand(spec) : spec.demand).FitsIn(TeamFreeCapacity(ref.job->team))) return false;
+  const std::int64_t needed = spec.is_gang ? spec.task_count : 1;
+  std::int64_t slots = 0;
+  for (const auto& [free_cpu, upstream] : m_by_free_cpu) {
+    // All later ones had less free CPU.
+    if (!spec.uses_spare_cpu && free_cpu < spec.demand.cpu_millis) return false;
+    const auto decision = step.policy_decisions.find(upstream->listing.id);
+    const bool is_denied = decision != step.policy_decisions.end() && !decision->second;
+    if (is_denied || !CanRunOn(spec, queue, *upstream)) continue;
+    if (!spec.is_gang && m_reserved_upstreams.contains(upstream->listing.id)) continue;
+    slots += CountSlots(ref, *upstream, upstream->FreeCapacity());
+    if (slots >= needed) return true;
+  }
+  return false;
+}
+
+void Scheduler::RequestTicketsFor(const std::vector<StepRef>& steps) {
+  using Purpose = PolicyCallDispatcher::Purpose;
+  const auto state_of = [](const StepRef& ref) -> StepState& {
+    return ref.job->occurrences.at(ref.occurrence).steps[ref.step];
+  };
+  std::vector<const StepRef*> longest_waiting;
+  for (const StepRef& ref : steps) {
+    const Time idle_since = state_of(ref).idle_since;
+    if (idle_since != Time{} && m_now - idle_since >= kMaxTicketWait) longest_waiting.push_back(&ref);
+  }
+  std::stable_sort(longest_waiting.begin(), longest_waiting.end(), [&state_of](const StepRef* a, const StepRef* b) {
+    return state_of(*a).idle_since < state_of(*b).idle_since;
+  });
+  std::vector<const StepRef*> deferred;
+  auto urgent = steps.begin();
+  auto waiting = longest_waiting.begin();
+  while (m_policy_calls.CanCall(0) && (urgent != steps.end() || waiting != longest_waiting.end())) {
+    const bool is_turn_of_waiting =
+        m_calls_since_longest_waiting + 1 >= kCallsPerLongestWaiting && waiting != longest_waiting.end();
+    const StepRef& ref = is_turn_of_waiting || urgent == steps.end() ? **waiting++ : *urgent++;
+    StepState& step = state_of(ref);
+    if (m_now < step.next_policy_call_at) continue;
+    // The reply to an overdue call may be lost. A second call must not take an instance from other steps.
+    const bool is_overdue = step.open_policy_calls == 1 && m_now >= step.policy_call_overdue_at;
+    if (step.open_policy_calls > 0 && !is_overdue) continue;
+    if (is_overdue || (!ref.reserves_upstreams && !CouldStart(ref))) {
+      deferred.push_back(&ref);
+    } else if (RequestTickets(ref, Purpose::kStart)) {
+      m_calls_since_longest_waiting = is_turn_of_waiting ? 0 : m_calls_since_longest_waiting + 1;
+    }
+  }
+  for (const StepRef* ref : deferred) {
+    StepState& step = state_of(*ref);
+    if (m_now < step.next_policy_call_at || RequestTickets(*ref, Purpose::kPrefetch)) continue;
+    step.next_policy_call_at = m_now + kPolicyScanInterval;
+  }
+}
+
+bool Scheduler::RequestTickets(const StepRef& ref, PolicyCallDispatcher::Purpose purpose) {
   StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
-  if (step.open_policy_calls > 0 || m_now < step.next_policy_call_at) return;
+  const QueueConfig& queue = *QueueOf(*ref.job);
   const PolicyConfig& policy_config = *queue.policy;
-  if (!m_policy_calls.CanCall(static_cast<std::int64_t>(policy_config.call_ms))) return;
+  if (!m_policy_calls.CanCall(static_cast<std::int64_t>(policy_config.call_ms), purpose)) return false;
   PolicyRequest request;
   request.job = ref.job->id;
   request.occurrence = ref.occurrence;
@@ -444,16 +516,19 @@
   request.upstreams = ChooseUpstreamsToRequest(ref, queue);
   if (request.upstreams.empty()) {
     step.next_policy_call_at = m_now + kPolicyScanInterval;
-    return;
+    return false;
   }
   request.expected_ms = static_cast<std::int64_t>(
       std::ceil(policy_config.call_ms + policy_config.per_upstream_ms * static_cast<double>(request.upstreams.size())));
   const TaskKey step_key{ref.job->id, ref.occurrence, ref.step, 0};
-  const bool is_sent =
-      m_policy_calls.TryCall(request, [this, step_key, request, sent_at = m_now](const PolicyReply& policy_reply) {
+  const bool is_sent = m_policy_calls.TryCall(
+      request, purpose, [this, step_key, request, sent_at = m_now](const PolicyReply& policy_reply) {
         OnPolicyReply(step_key, request, sent_at, policy_reply);
       });
-  if (is_sent) ++step.open_policy_calls;
+  if (!is_sent) return false;
+  ++step.open_policy_calls;
+  step.policy_call_overdue_at = m_now + std::chrono::milliseconds(request.expected_ms) + kPolicyOverdueMargin;
+  return true;
 }
 
 void Scheduler::OnPolicyReply(const TaskKey& step_key, const PolicyRequest& request, Time request_sent_at,
--- a/src/instance/cell_progress_test.cc
+++ b/src/instance/cell_progress_test.cc
@@ -31,6 +31,40 @@
   ProgressMonitor m_monitor;
 };
 
+// Guards against policy calls for steps that their organisation's limit holds back, which left none for other steps.
+TEST_F(ProgressTest, StepsAtTheLimitDoNotTakePolicyCallsFromOthers) {
+  constexpr int kHeldBack = 60;
+  m_cluster.config->teams[TeamId("team0")].limit = Resources{10'000, 0, 0, 0};
+  ++m_cluster.config->version;
+  m_cluster.Run(milliseconds(500));
+  for (int i = 0; i < kHeldBack; ++i) {
+    m_cluster.Call(i % kInstances, "POST", "gangs/held" + std::to_string(i), "tasks=5 cpu=9000 mem=34000 ms=6000 gang",
+                   "key0");
+  }
+  m_cluster.Run(seconds(1));
+  for (int i = 0; i < 5; ++i) {
+    m_cluster.Call(i, "POST", "batch/job" + std::to_string(i), "tasks=10 cpu=1800 mem=6600 ms=3400", "key1");
+  }
+  m_cluster.Run(seconds(20));
+  ExpectProgress(m_monitor);
+}
+
+// Guards against policy calls for gangs that no upstreams have capacity for, which left none for other steps.
+TEST_F(ProgressTest, GangsWithoutCapacityDoNotTakePolicyCallsFromOthers) {
+  constexpr int kTooWide = 40;
+  for (int i = 0; i < kTooWide; ++i) {
+    // Each member fits on an upstream, but not all of them on those that the policy allows.
+    m_cluster.Call(i % kInstances, "POST", "gangs/wide" + std::to_string(i), "tasks=26 cpu=1000 mem=68000 ms=6000 gang",
+                   "key" + std::to_string(i % PolicyWorkload::kTeams));
+  }
+  m_cluster.Run(seconds(1));
+  for (int i = 0; i < 5; ++i) {
+    m_cluster.Call(i, "POST", "batch/job" + std::to_string(i), "tasks=10 cpu=1800 mem=6600 ms=3400", "key1");
+  }
+  m_cluster.Run(seconds(20));
+  ExpectProgress(m_monitor);
+}
+
 // Guards against calls that are given up while the policy service still handles them, so that none is ever answered.
 TEST_F(ProgressTest, LatePolicyRepliesAreUsed) {
   m_cluster.policy_service.extra_delay = [] { return milliseconds(600); };
