Ask for upstreams that are not reserved when those with a ticket are

Callers would see a step stand still although unreserved upstreams have capacity, for as long as its tickets are valid.

Cause: tickets on upstreams that are reserved for a gang counted as enough for a step, and further ones were asked for there first, as they have the most free capacity; placement skips these upstreams.

Change: for steps other than gangs, reserved upstreams neither count nor are asked for. With the tickets of 2.5 s of the sites the wait was bounded by their lifetime; the test uses 10 s.

Result: ReservedUpstreamsTest failed before (nothing running for 3 s with 12 places) and passes.

--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -405,9 +405,12 @@
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   const double factor = spec.is_gang ? kRequestedCapacityFactorGang : kRequestedCapacityFactor;
   double needed = static_cast<double>(step.waiting) * factor;
+  const auto is_reserved = [this, &spec](const UpstreamId& id) {
+    return !spec.is_gang && m_reserved_upstreams.contains(id);
+  };
   for (const auto& [id, ticket] : step.tickets) {
     const UpstreamState* upstream = FindUpstream(id);
-    if (upstream == nullptr || !CanRunOn(spec, queue, *upstream)) continue;
+    if (upstream == nullptr || is_reserved(id) || !CanRunOn(spec, queue, *upstream)) continue;
     needed -= static_cast<double>(CountSlots(ref, *upstream, upstream->FreeCapacity()));
   }
   if (needed <= 0) return {};
@@ -433,7 +436,7 @@
     // All later ones had less free CPU.
     if (!spec.uses_spare_cpu && free_cpu < spec.demand.cpu_millis) break;
     const std::int64_t free_slots = CountSlots(ref, *upstream, upstream->FreeCapacity());
-    if (free_slots > 0 && may_request(*upstream)) choose(*upstream, free_slots);
+    if (free_slots > 0 && !is_reserved(upstream->listing.id) && may_request(*upstream)) choose(*upstream, free_slots);
   }
   // With valid tickets a request for full upstreams would not help: capacity becomes free on those with a ticket first.
   if (chosen.empty() && !step.tickets.empty()) return {};
--- a/src/instance/cell_progress_test.cc
+++ b/src/instance/cell_progress_test.cc
@@ -77,5 +77,25 @@
   ExpectProgress(m_monitor);
 }
 
+// Guards against tickets for upstreams that are reserved for a gang, which kept a step from asking for others.
+TEST(ReservedUpstreamsTest, StepAsksForUpstreamsThatAreNotReserved) {
+  SimulatedCluster cluster(kInstances, 12, PolicyWorkload::kUpstreamCpuMillis);
+  PolicyWorkload workload(cluster, 1);
+  cluster.run_fails = nullptr;
+  cluster.policy_service.allowed_share = 1.0;
+  cluster.policy_service.ticket_ms = 10'000;
+  for (auto& [id, team] : cluster.config->teams) team.limit = {};
+  cluster.Run(seconds(2));
+  ProgressMonitor monitor(cluster);
+  cluster.Call(0, "POST", "filler", "tasks=4 cpu=17000 ms=30000", "key0");
+  cluster.Run(seconds(1));
+  // Needs ten whole upstreams, of which the filler occupies two.
+  cluster.Call(1, "POST", "gangs/gang", "tasks=20 cpu=16000 ms=20000 gang", "key1");
+  cluster.Run(seconds(3));
+  cluster.Call(2, "POST", "batch/job", "tasks=1 cpu=1000 ms=1000", "key2");
+  cluster.Run(seconds(10));
+  ExpectProgress(monitor);
+}
+
 }  // namespace
 }  // namespace jaymast
