--- a/src/cell/policy_call_dispatcher.cc
+++ b/src/cell/policy_call_dispatcher.cc
@@ -12,7 +12,7 @@
 constexpr std::size_t kInstancesPerShortCallReserve = 4;
 /// Calls with tickets for later leave one in this many of the instances for long calls free.
 constexpr std::size_t kCallersPerStartReserve = 3;
-/// An instance whose call got no reply is not used for this time, doubled with each further one.
+/// An instance whose call got no reply is not used for this time.
 constexpr Duration kFailureBackoff{500'000};
 /// A call is overdue this long after its expected end.
 constexpr Duration kOverdueMargin{400'000};
@@ -24,7 +24,9 @@
 constexpr int kLatenessWeight = 5;  ///< the newest reply counts as one in this many
 /// With later replies a second call would only wait at the service.
 constexpr Duration kMaxLatenessForSecondCall{100'000};
-constexpr int kMaxDoublings = 3;
+constexpr int kMaxDoublings = 2;
+/// Bound of that part. An instance is of no use while a call whose reply was lost is open.
+constexpr std::int64_t kMaxTimeoutMarginMs = 4000;
 
 }  // namespace
 
@@ -97,8 +99,8 @@
   const Duration expected = std::chrono::milliseconds(request.expected_ms);
   caller.overdue_at = std::max(m_now + kOverdueMargin, caller.overdue_at) + expected;
   const int doublings = std::min(caller.unanswered_calls, kMaxDoublings);
-  const std::int64_t margin_ms = kTimeoutMarginMs + kLatenessFactor * ToMillis(m_lateness);
-  request.timeout_ms = (kTimeoutFactor * request.expected_ms + margin_ms) << doublings;
+  const std::int64_t margin_ms = (kTimeoutMarginMs + kLatenessFactor * ToMillis(m_lateness)) << doublings;
+  request.timeout_ms = kTimeoutFactor * request.expected_ms + std::min(margin_ms, kMaxTimeoutMarginMs);
   m_client.RequestTickets(*picked, request,
                           [this, address = *picked, is_short, expected_at = m_now + expected,
                            done = std::move(done)](const PolicyReply& reply) {
@@ -110,7 +112,7 @@
 
 void PolicyCallDispatcher::OnReply(const std::string& address, bool is_short, Time expected_at,
                                    const PolicyReply& reply) {
-  if (reply.is_answered || reply.may_be_pending) {
+  if (reply.is_answered) {
     const Duration lateness = std::max(Duration::zero(), m_now - expected_at);
     m_lateness += (lateness - m_lateness) / kLatenessWeight;
   }
@@ -128,7 +130,7 @@
     caller.unanswered_calls = 0;
     return;
   }
-  caller.blocked_until = m_now + kFailureBackoff * (1 << std::min(caller.unanswered_calls, kMaxDoublings));
+  caller.blocked_until = m_now + kFailureBackoff;
   if (reply.may_be_pending) ++caller.unanswered_calls;
 }
 
--- a/src/cell_testing/progress_monitor.h
+++ b/src/cell_testing/progress_monitor.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <functional>
@@ -28,6 +30,19 @@
   /// A fault begins or ends now.
   void OnFault() { m_calm_since = m_site.queue.now() + kCalmBefore; }
 
+  /// Whether an accepted job has neither completed nor failed, as far as the upstreams know.
+  bool IsOpen(const std::string& id) const {
+    const FakeSite::Submission& submission = m_site.submissions.at(id);
+    if (!submission.is_accepted || submission.is_cancelled) return false;
+    const JobId job(id);
+    bool is_open = false;
+    for (std::size_t s = 0; s < submission.spec.steps.size(); ++s) {
+      if (HasFailed(job, submission, s)) return false;
+      is_open = is_open || CountOpenTasks(job, submission.spec, s) > 0;
+    }
+    return is_open;
+  }
+
   /// While set, no span is judged.
   bool is_disturbed = false;
   std::vector<std::string> violations;
@@ -58,8 +73,8 @@
       longest = std::max(longest, now - span.since);
       if (now - span.since < kMaxStandstill || span.is_reported) continue;
       span.is_reported = true;
-      violations.push_back(id + " has had nothing running since " +
-                           std::to_string(ToMillis(span.since.time_since_epoch())) + ": " + why);
+      violations.push_back(
+          fmt::format("{} has had nothing running since {}: {}", id, ToMillis(span.since.time_since_epoch()), why));
     }
     m_site.queue.After(kSampleInterval, [this] { Sample(); });
   }
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -193,8 +193,8 @@
       if (late > Duration::zero() && upstream != nullptr) {
         // Orders queued in an upstream are lost with its process.
         m_cluster.queue.After(late, [this, upstream, order, process_incarnation = upstream->listing().incarnation] {
-          if (upstream->listing().incarnation == process_incarnation)
-            upstream->Start(order, m_cluster.MakeWork(order.payload));
+          if (upstream->listing().incarnation != process_incarnation) return;
+          upstream->Start(order, m_cluster.MakeWork(order.payload));
         });
       }
       if (is_lost || late > Duration::zero()) return RunLater(kOrderTimeout, [done] { done({}); });
