Make one policy call at a time for a step that waits long

Cause: a step that waits long is offered twice in a pass, and the second time was not checked for the call that had just been made, so tickets for later were asked for twice and took instances from other steps.

Result: StepThatWaitsLongMakesOneCallAtATime failed (2 at a time) and passes; 157 tests of the instance slice passed before that test was added.

--- a/src/cell/policy_call_dispatcher.cc
+++ b/src/cell/policy_call_dispatcher.cc
@@ -16,17 +16,17 @@
 constexpr Duration kFailureBackoff{500'000};
 /// A call is overdue this long after its expected end.
 constexpr Duration kOverdueMargin{400'000};
-/// Timeout of a call: a multiple of its expected duration, and a part for calls that the service handles before it.
+/// The timeout of a call is a multiple of its expected duration and a margin. The margin grows with the mean lateness
+/// of recent replies, doubles with each call without a reply, and is bounded, as an instance is of no use while a call
+/// whose reply was lost is open.
 constexpr std::int64_t kTimeoutFactor = 2;
 constexpr std::int64_t kTimeoutMarginMs = 1000;
-/// Part of the timeout for late replies, as a multiple of their mean lateness.
 constexpr std::int64_t kLatenessFactor = 3;
+constexpr int kMaxDoublings = 2;
+constexpr std::int64_t kMaxTimeoutMarginMs = 4000;
 constexpr int kLatenessWeight = 5;  ///< the newest reply counts as one in this many
 /// With later replies a second call would only wait at the service.
 constexpr Duration kMaxLatenessForSecondCall{100'000};
-constexpr int kMaxDoublings = 2;
-/// Bound of that part. An instance is of no use while a call whose reply was lost is open.
-constexpr std::int64_t kMaxTimeoutMarginMs = 4000;
 
 }  // namespace
 
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -474,6 +474,13 @@
   const auto state_of = [](const StepRef& ref) -> StepState& {
     return ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   };
+  // The reply to an overdue call may be lost, so a step may make a second call.
+  const auto is_overdue = [this](const StepState& step) {
+    return step.open_policy_calls == 1 && m_now >= step.policy_call_overdue_at;
+  };
+  const auto may_call = [this, &is_overdue](const StepState& step) {
+    return m_now >= step.next_policy_call_at && (step.open_policy_calls == 0 || is_overdue(step));
+  };
   std::vector<const StepRef*> longest_waiting;
   for (const StepRef& ref : steps) {
     const Time idle_since = state_of(ref).idle_since;
@@ -489,12 +496,10 @@
     const bool is_turn_of_waiting =
         m_calls_since_longest_waiting + 1 >= kCallsPerLongestWaiting && waiting != longest_waiting.end();
     const StepRef& ref = is_turn_of_waiting || urgent == steps.end() ? **waiting++ : *urgent++;
-    StepState& step = state_of(ref);
-    if (m_now < step.next_policy_call_at) continue;
-    // The reply to an overdue call may be lost. A second call must not take an instance from other steps.
-    const bool is_overdue = step.open_policy_calls == 1 && m_now >= step.policy_call_overdue_at;
-    if (step.open_policy_calls > 0 && !is_overdue) continue;
-    if (is_overdue || (!ref.reserves_upstreams && !CouldStart(ref))) {
+    const StepState& step = state_of(ref);
+    if (!may_call(step)) continue;
+    // A second call must not take an instance from other steps.
+    if (is_overdue(step) || (!ref.reserves_upstreams && !CouldStart(ref))) {
       deferred.push_back(&ref);
     } else if (RequestTickets(ref, Purpose::kStart)) {
       m_calls_since_longest_waiting = is_turn_of_waiting ? 0 : m_calls_since_longest_waiting + 1;
@@ -502,7 +507,8 @@
   }
   for (const StepRef* ref : deferred) {
     StepState& step = state_of(*ref);
-    if (m_now < step.next_policy_call_at || RequestTickets(*ref, Purpose::kPrefetch)) continue;
+    // A step that has waited long is in the list twice.
+    if (!may_call(step) || RequestTickets(*ref, Purpose::kPrefetch)) continue;
     step.next_policy_call_at = m_now + kPolicyScanInterval;
   }
 }
--- a/src/cell_testing/fake_policy_service.h
+++ b/src/cell_testing/fake_policy_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -31,6 +32,7 @@
       ++refused_calls;
       return done({});
     }
+    max_open_calls_of_step = std::max(max_open_calls_of_step, ++m_open_calls[StepName(request)]);
     line.waiting.push_back({request, std::move(done)});
     if (!line.is_busy) HandleNext(line);
   }
@@ -66,6 +68,7 @@
   int calls = 0;
   int refused_calls = 0;
   int handled_calls = 0;
+  int max_open_calls_of_step = 0;  ///< at a time
 
  private:
   struct Waiting {
@@ -93,6 +96,7 @@
     const Duration extra = extra_delay ? extra_delay() : Duration::zero();
     m_queue.After(std::chrono::milliseconds(call.request.expected_ms) + extra, [this, &line, call] {
       ++handled_calls;
+      --m_open_calls[StepName(call.request)];
       const PolicyReply reply = Decide(call.request);
       const bool is_lost = loses_reply && loses_reply();
       HandleNext(line);
@@ -100,6 +104,10 @@
     });
   }
 
+  static std::string StepName(const PolicyRequest& request) {
+    return request.job.value() + "." + std::to_string(request.occurrence) + "." + std::to_string(request.step);
+  }
+
   PolicyReply Decide(const PolicyRequest& request) {
     PolicyReply reply;
     reply.is_answered = true;
@@ -119,6 +127,7 @@
   EventQueue& m_queue;
   std::map<std::string, Line> m_lines;
   std::map<std::string, Issued> m_tickets;
+  std::map<std::string, int> m_open_calls;  ///< by step
   std::uint64_t m_issued = 0;
 };
 
