--- a/src/cell_testing/progress_monitor.h
+++ b/src/cell_testing/progress_monitor.h
@@ -43,8 +43,6 @@
     return is_open;
   }
 
-  /// While set, no span is judged.
-  bool is_disturbed = false;
   std::vector<std::string> violations;
   Duration longest{};  ///< longest standstill that was judged
 
@@ -59,7 +57,6 @@
   };
 
   void Sample() {
-    if (is_disturbed) OnFault();
     const Time now = m_site.queue.now();
     const Usage usage = MeasureUsage();
     for (const auto& [id, submission] : m_site.submissions) {
