Adapt the pages of a paged read to the link to the store

Callers got 502 or 504 for 44 s after a takeover, and 396 jobs had no answer.

Cause: a new leader read the records in pages of 500 rows (up to 1 MB) with a fixed time limit of 0.9 s. Over a link of 10 Mbit/s such a page takes 0.8 s alone; one that was late was requested again in full without end, while the commits of the new leader kept all others from taking over.

Change: PageSizer makes pages smaller after a timeout and extends the time limit of the smallest page.

--- a/src/cell/leader_election.cc
+++ b/src/cell/leader_election.cc
@@ -67,7 +67,8 @@
 void LeaderElection::Read(Time now) {
   m_is_reading = true;
   const std::string key = kLeaderKey;
-  m_store.Scan(kLeaderTable, key, key + '\x01', [this, now](const StateScanReply& reply) { OnRow(now, reply); });
+  m_store.Scan(kLeaderTable, key, key + '\x01', {1, PageSizer::kMinTimeout},
+               [this, now](const StateScanReply& reply) { OnRow(now, reply); });
 }
 
 void LeaderElection::OnRow(Time sent_at, const StateScanReply& reply) {
--- a/src/cell/state_store.h
+++ b/src/cell/state_store.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "cell/page_sizer.h"
+
 namespace jaymast {
 
 /// A row of the cell's partition. Versions come from one counter that each transaction increments.
@@ -61,7 +63,7 @@
   virtual void Commit(const StateTransaction& transaction, std::function<void(StateCommitReply)> done) = 0;
 
   /// Reads a page of the rows with keys of at least `from` and, unless it is empty, below `to`.
-  virtual void Scan(const std::string& table, const std::string& from, const std::string& to,
+  virtual void Scan(const std::string& table, const std::string& from, const std::string& to, const PageLimits& limits,
                     std::function<void(StateScanReply)> done) = 0;
 };
 
--- a/src/cell_testing/fake_store.h
+++ b/src/cell_testing/fake_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -48,14 +49,15 @@
     return reply;
   }
 
-  StateScanReply Read(const std::string& table, const std::string& from, const std::string& to) const {
+  StateScanReply Read(const std::string& table, const std::string& from, const std::string& to,
+                      std::size_t max_rows) const {
     StateScanReply reply;
     reply.is_available = true;
     reply.version = m_version;
     reply.now_ms = ToMillis(m_queue.now().time_since_epoch());
     for (auto it = m_rows.lower_bound({table, from}); it != m_rows.end() && it->first.first == table; ++it) {
       if (!to.empty() && it->first.second >= to) break;
-      if (reply.rows.size() == kPageRows) {
+      if (reply.rows.size() == std::min(kPageRows, max_rows)) {
         reply.has_more = true;
         break;
       }
@@ -64,7 +66,7 @@
     return reply;
   }
 
-  /// Rows of a page; small, so that tests read several pages.
+  /// Most rows of a page; small, so that tests read several pages.
   static constexpr std::size_t kPageRows = 20;
   /// Limits of the platform's store. A transaction beyond them is rejected.
   static constexpr std::size_t kMaxRowBytes = 65'536;
@@ -123,17 +125,30 @@
     m_queue.After(latency, [this, transaction, done] { done(m_store.Apply(transaction)); });
   }
 
-  void Scan(const std::string& table, const std::string& from, const std::string& to,
+  void Scan(const std::string& table, const std::string& from, const std::string& to, const PageLimits& limits,
             std::function<void(StateScanReply)> done) override {
     if (fault == StoreFault::kNoReply || fault == StoreFault::kRefusing) {
-      return m_queue.After(fault == StoreFault::kNoReply ? kTimeout : kLatency, [done] { done({}); });
+      return m_queue.After(fault == StoreFault::kNoReply ? limits.timeout : kLatency, [done] { done({}); });
     }
-    m_queue.After(kLatency, [this, table, from, to, done] { done(m_store.Read(table, from, to)); });
+    m_queue.After(kLatency, [this, table, from, to, limits, done] {
+      const StateScanReply reply = m_store.Read(table, from, to, limits.max_rows);
+      const Duration transfer = TransferTime(reply);
+      if (kLatency + transfer > limits.timeout) return m_queue.After(limits.timeout - kLatency, [done] { done({}); });
+      m_queue.After(transfer, [done, reply] { done(reply); });
+    });
   }
 
   StoreFault fault = StoreFault::kNone;
+  std::int64_t scan_bytes_per_second = 0;  ///< what the link leaves for replies to scans; 0 does not limit them
 
  private:
+  Duration TransferTime(const StateScanReply& reply) const {
+    if (scan_bytes_per_second == 0) return Duration::zero();
+    std::int64_t bytes = 0;
+    for (const StateRow& row : reply.rows) bytes += static_cast<std::int64_t>(row.value.size());
+    return Duration(bytes * 1'000'000 / scan_bytes_per_second);
+  }
+
   static constexpr Duration kLatency{5'000};
   static constexpr Duration kSlowLatency{400'000};
   static constexpr Duration kTimeout{900'000};
--- a/src/instance/cell_takeover_test.cc
+++ b/src/instance/cell_takeover_test.cc
@@ -295,5 +295,27 @@
   EXPECT_EQ(cluster.LastStatus("GET largest"), kState);
 }
 
+// Guards against a takeover that never ends: pages that take longer than their time limit were requested again in full,
+// while the commits of the new leader kept all others from taking over.
+TEST(CellTakeoverTest, LargeLogIsReadOverSlowLink) {
+  SimulatedCluster cluster(3, 4);
+  cluster.Run(seconds(2));
+  const int leader = cluster.Leader();
+  constexpr int kJobs = 100;
+  constexpr int kPayloadBytes = 4'000;
+  // Jobs that are due later are accepted whatever the load.
+  const std::string body = "tasks=1 repeat=1 start=3600000 interval=1 " + std::string(kPayloadBytes, 'x');
+  SubmitSteadily(cluster, leader, kJobs, body, milliseconds(10));
+  cluster.Run(seconds(1));
+  ExpectAllAccepted(cluster, kJobs);
+  constexpr std::int64_t kBytesPerSecond = 50'000;
+  for (int i = 0; i < 3; ++i) cluster.At(i).store->scan_bytes_per_second = kBytesPerSecond;
+  cluster.Kill(leader);
+  // A takeover takes one second, and may take twice the time that the link needs for all records.
+  const double transfer_s = double{kJobs} * kPayloadBytes / kBytesPerSecond;
+  cluster.Run(seconds(1) + milliseconds(static_cast<std::int64_t>(2000 * transfer_s)));
+  EXPECT_GE(cluster.Leader(), 0);
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -27,9 +27,10 @@
     : m_store(store),
       m_events(ports.events),
       m_request_tick(std::move(request_tick)),
+      m_began_at(now),
       m_now(now),
       m_scheduler(
-          ports, record.epoch, now,
+          std::move(ports), record.epoch, now,
           [this] {
             m_committer.MarkDirty();
             m_request_tick();
@@ -88,21 +89,29 @@
 
 void CellTerm::Load() {
   m_is_reading = true;
-  m_store.Scan(kRecordTable, m_next_key, "", [this](const StateScanReply& reply) { OnPage(reply); });
+  m_page_sent_at = m_now;
+  m_store.Scan(kRecordTable, m_next_key, "", m_page_sizer.limits(),
+               [this](const StateScanReply& reply) { OnPage(reply); });
 }
 
 void CellTerm::OnPage(const StateScanReply& reply) {
   m_is_reading = false;
   if (!reply.is_available) {
+    m_page_sizer.OnFailure(m_now - m_page_sent_at);
     m_next_load_at = m_now + kLoadRetryDelay;
     return;
   }
+  m_page_sizer.OnPage(m_now - m_page_sent_at);
   if (reply.has_more && (reply.rows.empty() || reply.rows.back().key < m_next_key)) {
     m_events.Emit("records.no_progress", {{"table", kRecordTable}, {"key", m_next_key}});
     m_next_load_at = m_now + kNoProgressDelay;
     return;
   }
-  for (const StateRow& row : reply.rows) OnRow(row);
+  for (const StateRow& row : reply.rows) {
+    ++m_loaded_rows;
+    m_loaded_bytes += row.value.size();
+    OnRow(row);
+  }
   if (reply.has_more) {
     // Continues just above the last key.
     m_next_key = reply.rows.back().key + '\x01';
@@ -114,7 +123,8 @@
 void CellTerm::LoadLeaseBounds() {
   m_is_reading_leases = true;
   const std::string key = kLeaseKey;
-  m_store.Scan(kLeaderTable, key, key + '\x01', [this](const StateScanReply& reply) { OnLeaseBounds(reply); });
+  m_store.Scan(kLeaderTable, key, key + '\x01', {1, PageSizer::kMinTimeout},
+               [this](const StateScanReply& reply) { OnLeaseBounds(reply); });
 }
 
 void CellTerm::OnLeaseBounds(const StateScanReply& reply) {
@@ -187,7 +197,10 @@
 
 void CellTerm::FinishJobs(std::int64_t store_now_ms) {
   for (const auto& [id, loaded] : m_loaded_jobs) AddJob(id, loaded, store_now_ms);
-  m_events.Emit("term.jobs_loaded", {{"jobs", std::to_string(m_loaded_jobs.size())}});
+  m_events.Emit("term.jobs_loaded", {{"jobs", std::to_string(m_loaded_jobs.size())},
+                                     {"rows", std::to_string(m_loaded_rows)},
+                                     {"bytes", std::to_string(m_loaded_bytes)},
+                                     {"took_ms", std::to_string(ToMillis(m_now - m_began_at))}});
   m_loaded_jobs.clear();
   m_scheduler.FinishLoading();
   m_are_jobs_loaded = true;
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -75,12 +75,17 @@
   StateStore& m_store;
   CellEventSink& m_events;
   const std::function<void()> m_request_tick;
+  const Time m_began_at;
   Time m_now;
   Scheduler m_scheduler;
   GroupCommitter m_committer;
   std::unique_ptr<CellFeeds> m_feeds;
   std::map<JobId, LoadedJob> m_loaded_jobs;
   std::string m_next_key;
+  PageSizer m_page_sizer;
+  Time m_page_sent_at{};
+  std::size_t m_loaded_rows = 0;
+  std::size_t m_loaded_bytes = 0;
   Time m_next_load_at{};
   Time m_next_lease_load_at{};
   bool m_is_reading = false;
