--- /dev/null
+++ b/src/cell/cell_options.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <array>
+#include <set>
+#include <string_view>
+
+#include "base/enum_names.h"
+#include "base/result.h"
+
+namespace jaymast {
+
+/// Mechanisms of the cell that can be switched off, to compare deployments with and without them or to work around a
+/// fault.
+enum class CellFeature {
+  kLearnedRunTimes,   ///< expects the run times of finished tasks instead of the declared ones
+  kUpstreamSpeeds,    ///< places tasks by the learned speeds of upstreams
+  kPolicyPlanning,    ///< gives out policy calls by what they cost and how many tasks can start
+  kAdmissionByCause,  ///< counts only work that waits for capacity as a queue before a new job
+};
+
+template <>
+struct EnumNames<CellFeature> {
+  static constexpr std::array<std::string_view, 4> kNames = {"learned_run_times", "upstream_speeds", "policy_planning",
+                                                             "admission_by_cause"};
+};
+
+struct CellOptions {
+  std::set<CellFeature> disabled;
+
+  bool IsOn(CellFeature feature) const { return !disabled.contains(feature); }
+};
+
+/// Parses the names of features to disable, separated by commas.
+/// @return the options, or an error that names the unknown feature and lists the known ones
+Result<CellOptions> ParseDisabledFeatures(std::string_view names);
+
+}  // namespace jaymast
--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -29,13 +29,13 @@
 
 Scheduler::Scheduler(Ports ports, std::uint64_t epoch, Time now, std::function<void()> mark_dirty,
                      std::function<void()> on_fenced)
-    : m_ports(ports),
+    : m_ports(std::move(ports)),
       m_epoch(epoch),
       m_took_over_at(now),
       m_mark_dirty(std::move(mark_dirty)),
       m_on_fenced(std::move(on_fenced)),
       m_now(now),
-      m_policy_calls(ports.policy) {}
+      m_policy_calls(m_ports.policy) {}
 
 void Scheduler::LoadJob(Job job, std::int64_t age_ms) {
   job.accepted = m_now - std::chrono::milliseconds(age_ms);
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -14,6 +14,7 @@
 #include "base/time.h"
 #include "cell/admission_controller.h"
 #include "cell/cell_event_sink.h"
+#include "cell/cell_options.h"
 #include "cell/client_call.h"
 #include "cell/group_committer.h"
 #include "cell/lease_record.h"
@@ -49,6 +50,7 @@
     UpstreamClient& upstreams;
     PolicyClient& policy;
     CellEventSink& events;
+    CellOptions options;
   };
 
   /// @param epoch number of the takeover; all fencing tokens of this leader are above those of earlier ones
@@ -252,6 +254,10 @@
   /// Whether the gang, or one task of another step, will fit on the usable upstreams once their other work has ended,
   /// except long-running tasks.
   bool CanFitLater(const StepRef& ref) const;
+  /// Capacity that the limit of the organisation still allows it to allocate.
+  Resources TeamFreeCapacity(const TeamId& team) const;
+
+  // scheduler_policy.cc
   /// Requests tickets for waiting steps: first for those whose tasks could start at once, in the order of the placement
   /// pass; one in some calls goes to the one that has waited longest.
   void RequestTicketsFor(const std::vector<StepRef>& steps);
@@ -265,8 +271,6 @@
   /// @param request_sent_at when the call was made
   void OnPolicyReply(const TaskKey& step_key, const PolicyRequest& request, Time request_sent_at,
                      const PolicyReply& policy_reply);
-  /// Capacity that the limit of the organisation still allows it to allocate.
-  Resources TeamFreeCapacity(const TeamId& team) const;
 
   Ports m_ports;
   const std::uint64_t m_epoch;
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -102,8 +102,8 @@
     std::uint64_t process_incarnation = 0;
   };
 
-  explicit SimulatedCluster(int instances, int upstreams, std::int64_t cpu_millis = 8000)
-      : FakeSite(upstreams, cpu_millis), store(queue) {
+  explicit SimulatedCluster(int instances, int upstreams, std::int64_t cpu_millis = 8000, CellOptions cell_options = {})
+      : FakeSite(upstreams, cpu_millis), store(queue), options(std::move(cell_options)) {
     for (int i = 0; i < instances; ++i) {
       this->instances.push_back(std::make_unique<Instance>());
       Instance& instance = *this->instances.back();
@@ -170,6 +170,7 @@
   Instance& At(int index) { return *instances[static_cast<std::size_t>(index)]; }
 
   FakeStore store;
+  const CellOptions options;
   TraceEvents events{queue};
   std::vector<std::unique_ptr<Instance>> instances;
   std::map<std::string, std::vector<HttpResponse>> responses;
@@ -337,7 +338,8 @@
                               [this, &instance](FeedListener& listener) -> std::unique_ptr<CellFeeds> {
                                 return std::make_unique<FakeFeeds>(*this, instance, listener);
                               },
-                              [] {}};
+                              [] {},
+                              options};
     const std::uint64_t rank = static_cast<std::uint64_t>(instance.address.back() - '0');
     instance.cell = std::make_unique<CellInstance>(std::move(ports), instance.address, 250, rank, queue.now());
     Tick(instance, instance.process_incarnation);
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -56,6 +56,7 @@
     PeerSend send_peer;
     CellTerm::MakeFeeds make_feeds;
     std::function<void()> request_tick;
+    CellOptions options;
   };
 
   /// @param address peer address of this instance
--- a/src/jobs/job_record.cc
+++ b/src/jobs/job_record.cc
@@ -357,6 +357,10 @@
   return fmt::format("{}.{}.{}.{}", key.job.value(), key.occurrence, key.step, key.index);
 }
 
+std::string FormatStepKey(const TaskKey& key) {
+  return fmt::format("{}.{}.{}", key.job.value(), key.occurrence, key.step);
+}
+
 std::optional<TaskKey> ParseTaskKey(std::string_view text) {
   std::array<std::size_t, 3> numbers{};
   for (int i = 2; i >= 0; --i) {
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -49,6 +49,9 @@
 /// Formats a task key as "JOB.OCCURRENCE.STEP.INDEX".
 std::string FormatTaskKey(const TaskKey& key);
 
+/// Formats the step of a task as JOB.OCCURRENCE.STEP.
+std::string FormatStepKey(const TaskKey& key);
+
 /// Parses the format of FormatTaskKey(). Returns nullopt for any other text.
 std::optional<TaskKey> ParseTaskKey(std::string_view text);
 
--- a/src/jobs/job_spec.h
+++ b/src/jobs/job_spec.h
@@ -33,6 +33,11 @@
   std::int64_t latency_objective_ms = 0;  ///< tail latency objective of a serving task, 0 for none
   std::int64_t max_unavailable = 0;       ///< long-running tasks that planned maintenance may stop at a time
 
+  /// Demand of all tasks.
+  Resources total_demand() const {
+    return {demand.cpu_millis * task_count, demand.memory_mb * task_count, demand.accelerators * task_count, 0};
+  }
+
   /// Resources that a task is allocated on its upstream.
   Resources allocated_resources() const {
     Resources held = demand;
