Learn the speeds of upstreams, and place tasks by them

Cause: at a site where a third of the upstreams is 2.4 times as fast as the others, placement filled all of them alike. Urgent work is in time there only on fast upstreams, which gangs and batches held. Nothing in the listing says which upstreams are fast, and declared run times are wrong by a factor that all tasks of a step share.

Change: UpstreamSpeeds compares runs of the same step, from their progress or their ends, each run once. UpstreamSelector gives a task the slowest upstream on which its job is expected to be in time, or else the fastest; a gang gets a set whose slowest member is in time. The switch upstream_speeds turns placement by speed off. Without learned differences the order of upstreams is the one before. The options of a step are computed once and not for each of its tasks.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -318,6 +318,15 @@
     critical_path_ms[s] += static_cast<double>(step.estimate_ms) + call_ms;
     longest = std::max(longest, critical_path_ms[s]);
   }
+  job.time_after_step_ms.assign(job.spec.steps.size(), 0);
+  for (std::size_t s = job.spec.steps.size(); s-- > 0;) {
+    const StepSpec& step = job.spec.steps[s];
+    const double from_here_ms = job.time_after_step_ms[s] + static_cast<double>(step.estimate_ms) + call_ms;
+    for (const std::size_t dependency : step.dependencies) {
+      if (dependency >= s) continue;
+      job.time_after_step_ms[dependency] = std::max(job.time_after_step_ms[dependency], from_here_ms);
+    }
+  }
   const auto stretched_ms = static_cast<std::int64_t>(std::min(longest * queue->stretch, kMaxObjectiveMs));
   const std::int64_t objective_ms = stretched_ms + queue->target_duration_ms;
   job.objective = job.accepted + std::chrono::milliseconds(objective_ms);
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -23,10 +23,12 @@
 #include "cell/record_log.h"
 #include "cell/refused_calls.h"
 #include "cell/upstream_client.h"
+#include "cell/upstream_selector.h"
 #include "cell/upstream_state.h"
 #include "cell/wait_reason.h"
 #include "jobs/cell_config.h"
 #include "jobs/job.h"
+#include "placement/upstream_speeds.h"
 
 namespace jaymast {
 
@@ -102,6 +104,7 @@
   Duration longest_wait() const { return m_longest_wait; }
   /// Steps with waiting tasks, as of the last placement pass.
   std::size_t waiting_steps() const { return m_waiting_steps; }
+  const UpstreamSpeeds& speeds() const { return m_speeds; }
   const PolicyCallDispatcher& policy_calls() const { return m_policy_calls; }
 
  private:
@@ -213,6 +216,15 @@
   void OnSyncReply(const UpstreamId& id, std::uint64_t number, const SyncReply& reply);
   void OnActiveRun(UpstreamState& upstream, const ActiveRun& row);
   void OnEndedRun(UpstreamState& upstream, const EndedRun& row);
+  /// Learns the speed of an upstream from the progress of an active run, once for each run.
+  void LearnFromProgress(Job& job, const TaskKey& key, TaskState& task, const UpstreamState& upstream,
+                         std::int32_t percent);
+  /// Learns the speed of an upstream from a completed run, unless its progress was counted.
+  void LearnFromEnd(Job& job, const TaskKey& key, TaskState& task, const UpstreamState& upstream);
+  /// @param observed_percents part of the run that took `elapsed`, in percent
+  /// @param relative_error standard error of `elapsed`, as a share of it
+  void Learn(Job& job, const TaskKey& key, const UpstreamState& upstream, Duration elapsed,
+             std::int32_t observed_percents, double relative_error);
   void OnFailedRun(Job& job, const TaskKey& key, TaskState& task, UpstreamState& upstream);
   void AcknowledgeEnds(UpstreamState& upstream);
   /// Marks tasks as lost that a complete sync reply does not contain although it would if they ran.
@@ -235,6 +247,9 @@
   // scheduler_placement.cc
   void PlaceWaitingSteps();
   void ListUsableUpstreams();
+  /// Lowest speed of upstreams on which the step is expected to be in time, 0 if any speed will do.
+  double RequiredSpeed(const StepRef& ref) const;
+  UpstreamOption MakeOption(const StepRef& ref, UpstreamState& upstream) const;
   static Urgency UrgencyOfLongRunning(const StepState& step);
   void PlaceStep(const StepRef& ref);
   /// Emits an event if nothing of the step has run for long.
@@ -294,6 +309,8 @@
   RefusedCalls m_refused_calls;
   PolicyCallDispatcher m_policy_calls;
   AdmissionController m_admission;
+  UpstreamSpeeds m_speeds;
+  double m_max_speed = 1;                     ///< of the usable upstreams
   std::map<QueueId, double> m_allowed_share;  ///< running mean of the share of upstreams that the policy allows
   /// Usable upstreams with their free CPU at the start of the placement pass, in descending order.
   std::vector<std::pair<std::int64_t, UpstreamState*>> m_by_free_cpu;
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -33,6 +33,7 @@
   ++task.run;
   task.send_attempts = 0;
   task.percent_duration = Duration::zero();
+  task.reference = {};
   --step.waiting;
   AllocateCapacity(job, key, task, upstream);
   MarkChanged(job, key.occurrence);
@@ -185,6 +186,8 @@
     task->phase = TaskPhase::kRunning;
     task->confirmed_at = m_now;
     task->progressed_at = m_now;
+    // Members of a gang wait for the last one, and a run that resumes does not begin at 0.
+    if (!is_gang && task->checkpoint.empty()) task->reference = {m_now, 0};
     StepOf(job, key).idle_since = Time{};
     MarkStarted(job);
     return;
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -33,17 +33,30 @@
 /// A gang that is slow across racks waits this long for free capacity on one rack.
 constexpr Duration kMaxRackWait{1'500'000};
 
+/// Penalties of upstreams: where the last run of the task failed, and on another rack than the preferred one.
+constexpr int kFailedOnPenalty = 2;
+constexpr int kOtherRackPenalty = 1;
+
+/// Time between the assignment of a task and the beginning of its run: commit and transfer of the start.
+constexpr Duration kStartDelay{100'000};
+/// A run is expected to take this multiple of the expected run time at most.
+constexpr double kRunTimeMargin = 1.15;
+/// Bound of expected times, so that times computed from them do not overflow.
+constexpr double kMaxExpectedMs = 1e12;
+/// A run is expected to take this share of the expected run time at least; declared times are up to 2.5 times too long.
+constexpr double kOptimisticShare = 0.4;
+
 /// Keeps only the upstreams of one rack: of those with at least `needed` free slots, the one with the fewest.
 /// @return whether there is such a rack; otherwise nothing is changed
-bool KeepOneRack(std::vector<std::pair<std::int64_t, UpstreamState*>>& slots, std::int64_t needed) {
+bool KeepOneRack(std::vector<UpstreamOption>& options, std::int64_t needed) {
   std::map<std::string, std::int64_t> free_capacity;
-  for (const auto& [count, upstream] : slots) free_capacity[upstream->listing.rack] += count;
+  for (const UpstreamOption& option : options) free_capacity[option.upstream->listing.rack] += option.slots;
   const std::pair<const std::string, std::int64_t>* best = nullptr;
   for (const auto& rack : free_capacity) {
     if (rack.second >= needed && (best == nullptr || rack.second < best->second)) best = &rack;
   }
   if (best == nullptr) return false;
-  std::erase_if(slots, [best](const auto& slot) { return slot.second->listing.rack != best->first; });
+  std::erase_if(options, [best](const UpstreamOption& option) { return option.upstream->listing.rack != best->first; });
   return true;
 }
 
@@ -162,9 +175,15 @@
 
 void Scheduler::ListUsableUpstreams() {
   m_by_free_cpu.clear();
+  m_speeds.Refresh();
+  m_max_speed = 0;
   for (auto& [id, upstream] : m_upstreams) {
-    if (IsUsable(upstream)) m_by_free_cpu.emplace_back(upstream.FreeCapacity().cpu_millis, &upstream);
+    if (!IsUsable(upstream)) continue;
+    m_by_free_cpu.emplace_back(upstream.FreeCapacity().cpu_millis, &upstream);
+    if (m_ports.options.IsOn(CellFeature::kUpstreamSpeeds)) upstream.speed = m_speeds.SpeedOf(id);
+    m_max_speed = std::max(m_max_speed, upstream.speed);
   }
+  if (m_max_speed <= 0) m_max_speed = 1;
   std::stable_sort(m_by_free_cpu.begin(), m_by_free_cpu.end(),
                    [](const auto& a, const auto& b) { return a.first > b.first; });
 }
@@ -262,24 +281,23 @@
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   const Resources team_free_capacity = TeamFreeCapacity(ref.job->team);
   if (!spec.total_demand().FitsIn(team_free_capacity)) return false;
-  std::vector<std::pair<std::int64_t, UpstreamState*>> slots;
+  std::vector<UpstreamOption> options;
   std::int64_t total = 0;
   for (UpstreamState* upstream : candidates) {
-    const std::int64_t count = CountSlots(ref, *upstream, upstream->FreeCapacity());
-    if (count > 0) slots.emplace_back(count, upstream);
-    total += count;
+    const UpstreamOption option = MakeOption(ref, *upstream);
+    if (option.slots > 0) options.push_back(option);
+    total += option.slots;
   }
   if (total < spec.task_count) return false;
-  if (spec.same_rack && !KeepOneRack(slots, spec.task_count) && m_now - ref.job->accepted < kMaxRackWait) return false;
-  // Best fit: the fullest upstreams first, which avoids fragmentation of the others.
-  std::stable_sort(slots.begin(), slots.end(), [](const auto& a, const auto& b) {
-    return a.second->FreeCapacity().cpu_millis < b.second->FreeCapacity().cpu_millis;
-  });
+  if (spec.same_rack && !KeepOneRack(options, spec.task_count) && m_now - ref.job->accepted < kMaxRackWait) {
+    return false;
+  }
   ShareCheckpoint(ref.job->occurrences.at(ref.occurrence).steps[ref.step]);
+  UpstreamSelector(RequiredSpeed(ref)).ChooseForGang(options, spec.task_count);
   std::size_t index = 0;
-  for (const auto& [count, upstream] : slots) {
-    for (std::int64_t i = 0; i < count && index < static_cast<std::size_t>(spec.task_count); ++i, ++index) {
-      Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, index}, upstream->listing.id);
+  for (const UpstreamOption& option : options) {
+    for (std::int64_t i = 0; i < option.slots && index < static_cast<std::size_t>(spec.task_count); ++i, ++index) {
+      Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, index}, option.upstream->listing.id);
     }
   }
   return true;
@@ -301,33 +319,66 @@
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   Resources team_free_capacity = TeamFreeCapacity(ref.job->team);
+  if (!spec.demand.FitsIn(team_free_capacity)) return;
+  std::vector<UpstreamOption> options;
+  for (UpstreamState* upstream : candidates) {
+    if (m_reserved_upstreams.contains(upstream->listing.id)) continue;
+    const UpstreamOption option = MakeOption(ref, *upstream);
+    if (option.slots > 0) options.push_back(option);
+  }
+  if (options.empty()) return;
+  const UpstreamSelector selector(RequiredSpeed(ref));
   for (std::size_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
     TaskState& task = step.tasks[i];
     if (task.phase != TaskPhase::kWaiting) continue;
     if (!spec.demand.FitsIn(team_free_capacity)) return;
-    UpstreamState* best = nullptr;
-    double best_score = std::numeric_limits<double>::max();
-    for (UpstreamState* upstream : candidates) {
-      if (CountSlots(ref, *upstream, upstream->FreeCapacity()) < 1) continue;
-      if (m_reserved_upstreams.contains(upstream->listing.id)) continue;
-      const Resources& capacity = upstream->listing.capacity;
-      const Resources free = upstream->FreeCapacity();
-      double score =
-          static_cast<double>(free.cpu_millis) / static_cast<double>(std::max<std::int64_t>(1, capacity.cpu_millis)) +
-          static_cast<double>(free.memory_mb) / static_cast<double>(std::max<std::int64_t>(1, capacity.memory_mb));
-      if (!spec.preferred_rack.empty() && !upstream->HasLabel(spec.preferred_rack)) score += 4;
-      if (task.failed_on == upstream->listing.id) score += 8;
-      if (score < best_score) {
-        best_score = score;
-        best = upstream;
-      }
-    }
+    const auto failed_on = std::find_if(options.begin(), options.end(), [&task](const UpstreamOption& option) {
+      return option.upstream->listing.id == task.failed_on;
+    });
+    if (failed_on != options.end()) failed_on->penalty += kFailedOnPenalty;
+    UpstreamOption* best = selector.ChooseForTask(options);
+    if (failed_on != options.end()) failed_on->penalty -= kFailedOnPenalty;
     if (best == nullptr) return;
-    Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, i}, best->listing.id);
+    Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, i}, best->upstream->listing.id);
+    *best = MakeOption(ref, *best->upstream);
     team_free_capacity -= spec.demand;
   }
 }
 
+UpstreamOption Scheduler::MakeOption(const StepRef& ref, UpstreamState& upstream) const {
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  const Resources free = upstream.FreeCapacity();
+  UpstreamOption option;
+  option.upstream = &upstream;
+  option.slots = CountSlots(ref, upstream, free);
+  option.speed = upstream.speed;
+  const auto share = [](std::int64_t available, std::int64_t capacity) {
+    return static_cast<double>(available) / static_cast<double>(std::max<std::int64_t>(1, capacity));
+  };
+  option.free_share = share(free.cpu_millis, upstream.listing.capacity.cpu_millis) +
+                      share(free.memory_mb, upstream.listing.capacity.memory_mb);
+  const bool is_remote = !spec.preferred_rack.empty() && !upstream.HasLabel(spec.preferred_rack);
+  option.penalty = is_remote ? kOtherRackPenalty : 0;
+  return option;
+}
+
+double Scheduler::RequiredSpeed(const StepRef& ref) const {
+  if (!m_ports.options.IsOn(CellFeature::kUpstreamSpeeds)) return 0;
+  const Job& job = *ref.job;
+  const StepSpec& spec = job.spec.steps[ref.step];
+  if (spec.is_long_running || ref.step >= job.time_after_step_ms.size()) return 0;
+  const auto run_ms = static_cast<double>(spec.estimate_ms);
+  const double after_ms = job.time_after_step_ms[ref.step];
+  // Only a job that is late even if it takes much less time than expected makes way for others.
+  const auto optimistic_ms =
+      static_cast<std::int64_t>(std::min((run_ms / m_max_speed + after_ms) * kOptimisticShare, kMaxExpectedMs));
+  const bool can_be_timely = m_now + std::chrono::milliseconds(optimistic_ms) <= job.objective;
+  const Time deadline = can_be_timely ? job.objective : job.hard_deadline;
+  const double left_ms = std::chrono::duration<double, std::milli>(deadline - m_now - kStartDelay).count() - after_ms;
+  if (left_ms > 0) return run_ms * kRunTimeMargin / left_ms;
+  return m_now < deadline ? std::numeric_limits<double>::max() : 0;
+}
+
 bool Scheduler::MayReserveUpstreams(const StepRef& ref) const {
   if (ref.urgency > Urgency::kTimely || m_now - ref.job->accepted < kReservationDelay) return false;
   return ref.job->spec.steps[ref.step].total_demand().FitsIn(TeamFreeCapacity(ref.job->team));
@@ -337,7 +388,10 @@
   if (m_reserved_upstreams.size() >= candidates.size() + kMaxReservingGangs * kReservedUpstreamsPerGang) return;
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   std::vector<UpstreamState*> ordered = candidates;
-  std::stable_sort(ordered.begin(), ordered.end(), [](const auto* a, const auto* b) {
+  const UpstreamSelector selector(RequiredSpeed(ref));
+  std::stable_sort(ordered.begin(), ordered.end(), [&selector](const UpstreamState* a, const UpstreamState* b) {
+    const bool is_sufficient = selector.IsSufficient(a->speed);
+    if (is_sufficient != selector.IsSufficient(b->speed)) return is_sufficient;
     return a->FreeCapacity().cpu_millis > b->FreeCapacity().cpu_millis;
   });
   std::int64_t reserved_slots = 0;
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -41,6 +41,12 @@
 /// An upstream where runs of several jobs fail, or a run stalls, gets no tasks for this time.
 constexpr Duration kQuarantine{4'000'000};
 constexpr int kQuarantineAfterFailures = 2;
+/// Progress is reported in whole percentages, so a run time is derived from at least this many.
+constexpr std::int32_t kMinObservedPercents = 30;
+/// Standard error of a difference of two whole percentages.
+constexpr double kPercentError = 0.5;
+/// An end that was reported with a delay above this share of the run tells nothing about the run time.
+constexpr double kMaxEndError = 0.5;
 /// Progress of a gang member that waits for the others to finish.
 constexpr std::int32_t kFinishedPercent = 100;
 
@@ -191,11 +197,13 @@
   WithdrawLeaseBound(upstream);
   const bool was_adopted = upstream.is_adopted;
   const bool is_new_incarnation = upstream.incarnation != reply.incarnation && upstream.incarnation != 0;
+  upstream.unobserved = std::max(Duration::zero(), upstream.sync_sent_at - upstream.last_reply_at);
   upstream.last_reply_at = m_now;
   SetClock(upstream, reply.clock_ms);
   upstream.incarnation = reply.incarnation;
   if (is_new_incarnation) {
     m_ports.events.Emit("upstream.restarted", {{"upstream", id.value()}});
+    m_speeds.Forget(id);
     upstream.ends.clear();
     upstream.acknowledged_end = 0;
     // An order for the earlier incarnation may still arrive, so its capacity is free only after a fence.
@@ -236,6 +244,7 @@
     SendStop(upstream, row.task, row.run);
     return;
   }
+  if (row.percent < task->percent) task->reference.is_settled = true;
   if (task->percent != row.percent) {
     // The first percent may include a wait for the other members of a gang.
     if (task->phase == TaskPhase::kRunning && row.percent > task->percent && task->percent > 0) {
@@ -247,6 +256,7 @@
   }
   KeepCheckpoint(*task, row.checkpoint);
   if (task->phase == TaskPhase::kStopping) return;
+  LearnFromProgress(*job, row.task, *task, upstream, row.percent);
   if (IsFinal(job->state)) {
     task->phase = TaskPhase::kRunning;
     return StopTask(*job, row.task, *task, "job ended");
@@ -260,6 +270,55 @@
   MarkStarted(*job);
 }
 
+void Scheduler::LearnFromProgress(Job& job, const TaskKey& key, TaskState& task, const UpstreamState& upstream,
+                                  std::int32_t percent) {
+  RunReference& reference = task.reference;
+  if (reference.is_settled) return;
+  if (percent < 0 || percent > kFinishedPercent) {
+    reference.is_settled = true;
+    return;
+  }
+  // A member at 100 percent may have been there for long.
+  if (percent == 0 || percent == kFinishedPercent) return;
+  if (reference.percent < 0) {
+    reference = {m_now, percent};
+    return;
+  }
+  const std::int32_t observed = percent - reference.percent;
+  if (observed < kMinObservedPercents) return;
+  reference.is_settled = true;
+  Learn(job, key, upstream, m_now - reference.since, observed, kPercentError / observed);
+}
+
+void Scheduler::LearnFromEnd(Job& job, const TaskKey& key, TaskState& task, const UpstreamState& upstream) {
+  RunReference& reference = task.reference;
+  const bool is_gang = job.spec.steps[key.step].is_gang;
+  const std::int32_t observed = kFinishedPercent - reference.percent;
+  // Members of a gang end together.
+  if (is_gang || reference.is_settled || reference.percent < 0 || observed < kMinObservedPercents) return;
+  reference.is_settled = true;
+  const Duration elapsed = m_now - reference.since;
+  if (elapsed <= Duration::zero()) return;
+  const double error = static_cast<double>(upstream.unobserved.count()) / static_cast<double>(elapsed.count());
+  if (error <= kMaxEndError) Learn(job, key, upstream, elapsed, observed, error);
+}
+
+void Scheduler::Learn(Job& job, const TaskKey& key, const UpstreamState& upstream, Duration elapsed,
+                      std::int32_t observed_percents, double relative_error) {
+  const StepSpec& spec = job.spec.steps[key.step];
+  // The speed of a task on spare CPU depends on the other tasks, and a long-running one has no run time.
+  if (spec.uses_spare_cpu || spec.is_long_running) return;
+  RunTimeSample sample;
+  sample.run_ms = static_cast<double>(elapsed.count()) / 1000.0 * kPercents / observed_percents;
+  sample.relative_error = relative_error;
+  sample.declared_ms = static_cast<double>(spec.estimate_ms);
+  const bool has_changed = m_speeds.Observe(upstream.listing.service.value(), upstream.listing.id, upstream.incarnation,
+                                            sample, StepOf(job, key).run_time);
+  if (!has_changed) return;
+  m_ports.events.Emit("upstream.speed_changed", {{"upstream", upstream.listing.id.value()},
+                                                 {"speed_before", fmt::format("{:.2f}", upstream.speed)}});
+}
+
 void Scheduler::OnEndedRun(UpstreamState& upstream, const EndedRun& row) {
   Job* job = FindJob(row.task.job);
   TaskState* task = FindTask(row.task);
@@ -283,6 +342,7 @@
   }
   upstream.ends[row.number] = false;
   KeepCheckpoint(*task, row.checkpoint);
+  if (is_current && completes_task) LearnFromEnd(*job, row.task, *task, upstream);
   if (is_current) ReleaseCapacity(*job, row.task, *task);
   job->has_started = true;
   if (row.kind == EndKind::kDone) upstream.consecutive_failures = 0;
--- a/src/cell/upstream_state.h
+++ b/src/cell/upstream_state.h
@@ -48,12 +48,15 @@
   Time next_sync{};
   Duration sync_pause{};  ///< between the last reply and the next sync
   Time last_reply_at{};
+  Duration unobserved{};  ///< time before the last reply in which an end was not reported at once
   int failed_syncs = 0;
 
   // Reported ends by number, and whether each is committed to the store.
   std::map<std::int64_t, bool> ends;
   std::int64_t acknowledged_end = 0;
 
+  double speed = 1;  ///< relative to the mean upstream, as of the last placement pass
+
   // Health, derived from the results of runs.
   int consecutive_failures = 0;
   std::string last_failed_job;
--- a/src/cell_testing/fake_upstream.h
+++ b/src/cell_testing/fake_upstream.h
@@ -21,6 +21,7 @@
   std::map<TaskKey, int> running;  ///< number of active runs
   std::map<TaskKey, int> starts;
   std::map<TaskKey, int> done;
+  std::map<TaskKey, Time> done_at;  ///< when the task was last done
   std::map<TaskKey, int> failed;
   std::set<TaskKey> acknowledged_done;
   std::map<std::pair<TaskKey, std::int32_t>, std::set<std::size_t>> gang_members_at_100;  ///< by first member and run
@@ -74,7 +75,7 @@
     ++m_history.starts[order.task];
     m_history.runs[order.task].insert(order.run);
     if (work.gang_size > 0) m_history.gang_checkpoints[GangRun(order.task, order.run)].insert(order.checkpoint);
-    const Duration run_time = work.run_time * slowdown;
+    const Duration run_time(static_cast<std::int64_t>(static_cast<double>((work.run_time * slowdown).count()) / speed));
     m_running[order.task] = {order.run, work, m_queue.now(), run_time};
     m_queue.After(run_time + Duration(1), [this] { Advance(); });
     return reply;
@@ -164,6 +165,7 @@
   bool is_reachable = true;
   bool fails_runs = false;    ///< runs fail at their end
   bool stands_still = false;  ///< runs stay at 10 percent
+  double speed = 1;           ///< runs that start now take their run time divided by this
   int slowdown = 1;           ///< runs that start now take this many times as long
 
  private:
@@ -218,7 +220,10 @@
     m_running.erase(key);
     m_highest_run[key] = std::max(m_highest_run[key], run.run);
     --m_history.running[key];
-    if (kind == EndKind::kDone) ++m_history.done[key];
+    if (kind == EndKind::kDone) {
+      ++m_history.done[key];
+      m_history.done_at[key] = m_queue.now();
+    }
     if (kind == EndKind::kFailed) ++m_history.failed[key];
     m_ends.push_back({++m_last_end, key, run.run, kind, Checkpoint(key, run)});
     const auto waiting = m_waiting_syncs;
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -392,6 +392,8 @@
   gauges["jaymast_upstreams"] = static_cast<double>(scheduler.upstreams());
   gauges["jaymast_usable_upstreams"] = static_cast<double>(scheduler.CountUsableUpstreams());
   gauges["jaymast_placement_checks"] = static_cast<double>(scheduler.placement_checks());
+  gauges["jaymast_upstreams_with_speed"] = static_cast<double>(scheduler.speeds().known());
+  gauges["jaymast_upstream_speed_spread"] = scheduler.speeds().spread();
   gauges["jaymast_unacknowledged_ends"] = static_cast<double>(scheduler.CountUnacknowledgedEnds());
   gauges["jaymast_longest_wait_seconds"] = std::chrono::duration<double>(scheduler.longest_wait()).count();
   gauges["jaymast_waiting_steps"] = static_cast<double>(scheduler.waiting_steps());
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -16,6 +16,7 @@
 #include "base/time.h"
 #include "jobs/cell_config.h"
 #include "jobs/job_spec.h"
+#include "placement/upstream_speeds.h"
 
 namespace jaymast {
 
@@ -46,6 +47,13 @@
 /// Whether a task in this phase has resources allocated on its upstream.
 constexpr bool HasAllocation(TaskPhase phase) { return phase != TaskPhase::kWaiting && phase != TaskPhase::kDone; }
 
+/// Where the progress of a run is measured from, to learn how long it takes.
+struct RunReference {
+  Time since{};
+  std::int32_t percent = -1;  ///< at `since`, -1 while unknown
+  bool is_settled = false;    ///< the run was counted, or tells nothing
+};
+
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
   std::int32_t run = 0;       ///< number of the last start, from 1
@@ -59,6 +67,7 @@
   Time stop_retry_at = Time::max();  ///< when the stop is sent again
   Time progressed_at{};              ///< when the reported progress last changed
   std::int32_t percent = -1;
+  RunReference reference;
   Duration percent_duration{};           ///< longest time that one percent took in this run, as reported
   int stalls = 0;                        ///< runs that were stopped because they made no progress
   std::int32_t checkpoint_percent = -1;  ///< progress at which the checkpoint was reported, -1 if unknown
@@ -94,6 +103,7 @@
   std::int64_t waiting = 0;    ///< tasks without an upstream
   std::int64_t not_done = 0;   ///< tasks that are not done
   bool is_gang_done = false;   ///< one member has completed, which completes all
+  StepRunTime run_time;        ///< learned from its runs in this term
   std::int32_t last_failed_gang_run = 0;  ///< highest run of the gang that was counted as failed
 };
 
@@ -121,8 +131,10 @@
   std::size_t next_occurrence = 0;                ///< all lower numbers are open or done
   bool has_started = false;                       ///< a task has been started
   Time accepted{};
-  Time objective{};                 ///< latest completion that meets the latency objective
-  Time hard_deadline{};             ///< latest completion whose result is of use
+  Time objective{};      ///< latest completion that meets the latency objective
+  Time hard_deadline{};  ///< latest completion whose result is of use
+  /// Longest expected time of the later steps that wait for each step, in ms.
+  std::vector<double> time_after_step_ms;
   std::int64_t recorded_at_ms = 0;  ///< store clock at acceptance
 
   // Changes are numbered; those up to `committed_change` are in the store.
--- a/src/placement/upstream_speeds.h
+++ b/src/placement/upstream_speeds.h
@@ -1,14 +1,80 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
 #include "base/id.h"
 
 namespace jaymast {
 
-/// Estimates how fast upstreams run tasks compared with the mean upstream, from tasks of the same step.
+/// Run time of the tasks of one step on an upstream of unit slowness, as far as the runs of the step have shown it.
+struct StepRunTime {
+  double log_ms = 0;    ///< natural logarithm of the run time in ms
+  double variance = 0;  ///< of `log_ms`, 0 while nothing is known
+};
+
+/// Run time of one task on one upstream, derived from its end or from its progress.
+struct RunTimeSample {
+  double run_ms = 0;          ///< of a complete run
+  double relative_error = 0;  ///< standard error of `run_ms`, as a share of it
+  double declared_ms = 0;     ///< declared run time, 0 if unknown
+};
+
+/// Estimates how fast upstreams run tasks compared with the mean upstream of their service.
+///
+/// Load pattern: upstreams of one service differ in speed by a factor of two or more, nothing in their listing says so,
+/// and declared run times are wrong by a factor that all tasks of a step share. The model is
+/// log(run time) = run time of the step + slowness of the upstream + noise. Each sample corrects both terms in
+/// proportion to their variances (a Kalman filter that neglects covariances), so tasks of one step are compared with
+/// each other as soon as two of them have run, and the declared time is only a weak prior of the first one.
 class UpstreamSpeeds {
  public:
-  /// Speed relative to the mean upstream: a task of 1 s takes 0.5 s at speed 2. 1 if nothing is known.
+  /// Ignores a run time that is not positive and finite. A new incarnation is a new upstream.
+  /// @param step run time of the step of the task, which the sample corrects
+  /// @return whether the last samples of the upstream show that its speed has changed
+  bool Observe(const std::string& service, const UpstreamId& upstream, std::int64_t incarnation,
+               const RunTimeSample& sample, StepRunTime& step);
+
+  /// Discards what is known about an upstream.
+  void Forget(const UpstreamId& upstream);
+
+  /// Updates the speeds that `SpeedOf` returns, if there were observations since the last call.
+  void Refresh();
+
+  /// Speed relative to the mean upstream as of the last refresh: a task of 1 s takes 0.5 s at speed 2. 1 if nothing is
+  /// known.
   double SpeedOf(const UpstreamId& upstream) const;
+
+  /// Upstreams with observations.
+  std::size_t known() const { return m_upstreams.size(); }
+  /// Standard deviation of the logarithms of the speeds, as of the last refresh.
+  double spread() const { return m_spread; }
+
+ private:
+  struct Upstream {
+    std::string service;
+    std::int64_t incarnation = 0;
+    double slowness = 0;  ///< logarithm of the run time compared with unit slowness
+    double variance = 0;  ///< of `slowness`
+    double trend = 0;     ///< running mean of the deviations of samples, in standard deviations
+    double speed = 1;     ///< as of the last refresh
+  };
+
+  struct Service {
+    double mean_slowness = 0;  ///< slowness of an upstream of mean speed
+    double spread = 0;         ///< variance of the slowness among upstreams
+    double noise;              ///< variance of the run times within a step
+  };
+
+  Service& ServiceOf(const std::string& name);
+  Upstream& UpstreamOf(const std::string& service, const UpstreamId& id, std::int64_t incarnation);
+
+  std::unordered_map<std::string, Service> m_services;
+  std::unordered_map<UpstreamId, Upstream> m_upstreams;
+  double m_spread = 0;
+  bool m_is_changed = false;
 };
 
 }  // namespace jaymast
