Learn run times of queues, and order steps by whether they can be in time

Cause: declared run times are wrong by a factor of up to 2.5, and objectives and order follow from them. A step counted as timely until the clock had passed its objective, so work that could not be in time any more delayed work that could.

Change: RunTimeModel regresses observed on declared times for each queue; a step counts once, with the run time that its tasks have shown at mean speed. SetObjective uses the prediction, and what the step itself has shown once a run of it was observed. Steps are ordered by the latest start at which their job meets its objective, and count as late once they would be late even if their run times were wrong by a factor of 1.5. The switch learned_run_times turns both off.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -308,6 +308,7 @@
   if (queue == nullptr) return;
   const double call_ms =
       queue->policy ? queue->policy->call_ms + queue->policy->per_upstream_ms * kUpstreamsPerCallInObjective : 0;
+  job.step_times.assign(job.spec.steps.size(), {});
   std::vector<double> critical_path_ms(job.spec.steps.size(), 0);
   double longest = 0;
   for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
@@ -315,30 +316,50 @@
     for (const std::size_t dependency : step.dependencies) {
       if (dependency < s) critical_path_ms[s] = std::max(critical_path_ms[s], critical_path_ms[dependency]);
     }
-    critical_path_ms[s] += static_cast<double>(step.estimate_ms) + call_ms;
+    job.step_times[s].run_ms = ExpectedRunMs(job, *queue, s);
+    critical_path_ms[s] += job.step_times[s].run_ms + call_ms;
     longest = std::max(longest, critical_path_ms[s]);
   }
-  job.time_after_step_ms.assign(job.spec.steps.size(), 0);
   for (std::size_t s = job.spec.steps.size(); s-- > 0;) {
     const StepSpec& step = job.spec.steps[s];
-    const double from_here_ms = job.time_after_step_ms[s] + static_cast<double>(step.estimate_ms) + call_ms;
+    const double from_here_ms = job.step_times[s].after_ms + job.step_times[s].run_ms + call_ms;
     for (const std::size_t dependency : step.dependencies) {
       if (dependency >= s) continue;
-      job.time_after_step_ms[dependency] = std::max(job.time_after_step_ms[dependency], from_here_ms);
+      job.step_times[dependency].after_ms = std::max(job.step_times[dependency].after_ms, from_here_ms);
     }
   }
-  const auto stretched_ms = static_cast<std::int64_t>(std::min(longest * queue->stretch, kMaxObjectiveMs));
-  const std::int64_t objective_ms = stretched_ms + queue->target_duration_ms;
+  job.stretched_path_ms = std::min(longest * queue->stretch, kMaxObjectiveMs);
+  const std::int64_t objective_ms = static_cast<std::int64_t>(job.stretched_path_ms) + queue->target_duration_ms;
   job.objective = job.accepted + std::chrono::milliseconds(objective_ms);
   job.hard_deadline = job.accepted + std::chrono::milliseconds(objective_ms * kHardDeadlineFactor);
 }
 
+double Scheduler::ExpectedRunMs(const Job& job, const QueueConfig& queue, std::size_t step) const {
+  const auto declared_ms = static_cast<double>(job.spec.steps[step].estimate_ms);
+  if (!m_ports.options.IsOn(CellFeature::kLearnedRunTimes)) return declared_ms;
+  if (job.spec.repeat_count == 0 && !job.occurrences.empty()) {
+    const StepRunTime& run_time = job.occurrences.begin()->second.steps[step].run_time;
+    if (run_time.variance > 0) return m_speeds.RunTimeAtMeanSpeed(queue.service.value(), run_time);
+  }
+  return m_run_times.Predict(queue.id.value(), declared_ms).expected_ms;
+}
+
+void Scheduler::LearnFromStep(const Job& job, const TaskKey& key, const StepState& step) {
+  const QueueConfig* queue = QueueOf(job);
+  if (queue == nullptr) return;
+  const double run_ms = m_speeds.RunTimeAtMeanSpeed(queue->service.value(), step.run_time);
+  if (run_ms > 0) {
+    m_run_times.Record(queue->id.value(), static_cast<double>(job.spec.steps[key.step].estimate_ms), run_ms);
+  }
+}
+
 void Scheduler::FinishTask(Job& job, const TaskKey& key, TaskState& task) {
   if (task.phase == TaskPhase::kDone) return;
   StepState& step = StepOf(job, key);
   if (task.phase == TaskPhase::kWaiting) --step.waiting;
   task.phase = TaskPhase::kDone;
   if (--step.not_done > 0) return;
+  LearnFromStep(job, key, step);
   step.tickets.clear();
   step.policy_decisions.clear();
   Occurrence& occurrence = job.occurrences.at(key.occurrence);
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -28,6 +28,7 @@
 #include "cell/wait_reason.h"
 #include "jobs/cell_config.h"
 #include "jobs/job.h"
+#include "placement/run_time_model.h"
 #include "placement/upstream_speeds.h"
 
 namespace jaymast {
@@ -105,6 +106,7 @@
   /// Steps with waiting tasks, as of the last placement pass.
   std::size_t waiting_steps() const { return m_waiting_steps; }
   const UpstreamSpeeds& speeds() const { return m_speeds; }
+  const RunTimeModel& run_times() const { return m_run_times; }
   const PolicyCallDispatcher& policy_calls() const { return m_policy_calls; }
 
  private:
@@ -135,7 +137,7 @@
     std::size_t step = 0;
     Urgency urgency = Urgency::kTimely;
     std::int64_t priority = 0;
-    Time objective{};
+    Time latest_start{};              ///< at which the job is expected to meet its objective
     bool reserves_upstreams = false;  ///< a gang for which upstreams are reserved once it has tickets
   };
 
@@ -151,7 +153,12 @@
   void WhenCommitted(Job& job, std::function<void()> action);
   void AllocateCapacity(Job& job, const TaskKey& key, TaskState& task, const UpstreamId& upstream);
   void ReleaseCapacity(Job& job, const TaskKey& key, TaskState& task);
+  /// Sets the deadlines of a job and the expected times of its steps.
   void SetObjective(Job& job);
+  /// Expected run time of a task of a step at mean upstream speed, in ms.
+  double ExpectedRunMs(const Job& job, const QueueConfig& queue, std::size_t step) const;
+  /// Learns the run time that the tasks of a completed step have shown.
+  void LearnFromStep(const Job& job, const TaskKey& key, const StepState& step);
   void FinishTask(Job& job, const TaskKey& key, TaskState& task);
   void EndJob(Job& job, JobState state);
   /// Opens the occurrences that are due, as far as the job may have more tasks open.
@@ -251,6 +258,10 @@
   double RequiredSpeed(const StepRef& ref) const;
   UpstreamOption MakeOption(const StepRef& ref, UpstreamState& upstream) const;
   static Urgency UrgencyOfLongRunning(const StepState& step);
+  /// Urgency of a step by when its job can be complete on the fastest upstreams.
+  Urgency UrgencyByTime(const Job& job, std::size_t step) const;
+  /// Latest start of a step on the fastest upstreams at which its job is expected to meet its objective.
+  Time LatestStart(const Job& job, std::size_t step) const;
   void PlaceStep(const StepRef& ref);
   /// Emits an event if nothing of the step has run for long.
   void ObserveWait(const StepRef& ref);
@@ -310,6 +321,7 @@
   PolicyCallDispatcher m_policy_calls;
   AdmissionController m_admission;
   UpstreamSpeeds m_speeds;
+  RunTimeModel m_run_times;                   ///< by queue
   double m_max_speed = 1;                     ///< of the usable upstreams
   std::map<QueueId, double> m_allowed_share;  ///< running mean of the share of upstreams that the policy allows
   /// Usable upstreams with their free CPU at the start of the placement pass, in descending order.
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -43,8 +43,8 @@
 constexpr double kRunTimeMargin = 1.15;
 /// Bound of expected times, so that times computed from them do not overflow.
 constexpr double kMaxExpectedMs = 1e12;
-/// A run is expected to take this share of the expected run time at least; declared times are up to 2.5 times too long.
-constexpr double kOptimisticShare = 0.4;
+/// A job counts as late once it is late even if all its expected run times are wrong by this factor, either way.
+constexpr double kRunTimeUncertainty = 1.5;
 
 /// Keeps only the upstreams of one rack: of those with at least `needed` free slots, the one with the fewest.
 /// @return whether there is such a rack; otherwise nothing is changed
@@ -75,9 +75,6 @@
   for (const auto& [id, active] : m_active) {
     Job& job = *active;
     const QueueConfig* queue = nullptr;
-    const Urgency by_time = m_now < job.objective
-                                ? Urgency::kTimely
-                                : (m_now < job.hard_deadline ? Urgency::kLate : Urgency::kPastDeadline);
     for (auto& entry : job.occurrences) {
       const std::size_t k = entry.first;
       Occurrence& occurrence = entry.second;
@@ -94,16 +91,17 @@
         if (!is_ready) continue;
         if (queue == nullptr) queue = QueueOf(job);
         if (queue == nullptr) continue;
-        const Urgency urgency = job.spec.steps[s].is_long_running ? UrgencyOfLongRunning(occurrence.steps[s]) : by_time;
-        refs.push_back({&job, k, s, urgency, queue->priority, job.objective});
+        const Urgency urgency =
+            job.spec.steps[s].is_long_running ? UrgencyOfLongRunning(occurrence.steps[s]) : UrgencyByTime(job, s);
+        refs.push_back({&job, k, s, urgency, queue->priority, LatestStart(job, s)});
       }
     }
   }
   if (refs.empty()) return;
   ListUsableUpstreams();
   std::sort(refs.begin(), refs.end(), [](const StepRef& a, const StepRef& b) {
-    return std::tie(a.urgency, a.priority, a.objective, a.job->id, a.occurrence, a.step) <
-           std::tie(b.urgency, b.priority, b.objective, b.job->id, b.occurrence, b.step);
+    return std::tie(a.urgency, a.priority, a.latest_start, a.job->id, a.occurrence, a.step) <
+           std::tie(b.urgency, b.priority, b.latest_start, b.job->id, b.occurrence, b.step);
   });
   m_waiting_steps = refs.size();
   for (const StepRef& ref : refs) {
@@ -200,6 +198,34 @@
   return spec.required_label.empty() || upstream.HasLabel(spec.required_label);
 }
 
+Scheduler::Urgency Scheduler::UrgencyByTime(const Job& job, std::size_t step) const {
+  if (!m_ports.options.IsOn(CellFeature::kLearnedRunTimes) || step >= job.step_times.size()) {
+    if (m_now < job.objective) return Urgency::kTimely;
+    return m_now < job.hard_deadline ? Urgency::kLate : Urgency::kPastDeadline;
+  }
+  const StepTimes& times = job.step_times[step];
+  const double remaining_ms = times.run_ms / m_max_speed + times.after_ms;
+  // A longer run also has a later objective. The slack is linear in the factor by which all run times are wrong, so it
+  // is highest at one of the bounds.
+  const auto is_attainable = [this, remaining_ms](Time deadline, double stretched_ms) {
+    const double slack_ms = std::chrono::duration<double, std::milli>(deadline - m_now).count() - remaining_ms;
+    const double gain_ms = stretched_ms - remaining_ms;
+    return slack_ms + std::max(gain_ms * (kRunTimeUncertainty - 1), gain_ms * (1 / kRunTimeUncertainty - 1)) >= 0;
+  };
+  const double hard_stretched_ms = job.stretched_path_ms *
+                                   std::chrono::duration<double>(job.hard_deadline - job.accepted).count() /
+                                   std::max(1e-3, std::chrono::duration<double>(job.objective - job.accepted).count());
+  if (is_attainable(job.objective, job.stretched_path_ms)) return Urgency::kTimely;
+  return is_attainable(job.hard_deadline, hard_stretched_ms) ? Urgency::kLate : Urgency::kPastDeadline;
+}
+
+Time Scheduler::LatestStart(const Job& job, std::size_t step) const {
+  if (!m_ports.options.IsOn(CellFeature::kLearnedRunTimes) || step >= job.step_times.size()) return job.objective;
+  const StepTimes& times = job.step_times[step];
+  const double remaining_ms = std::min(times.run_ms / m_max_speed + times.after_ms, kMaxExpectedMs);
+  return job.objective - std::chrono::milliseconds(static_cast<std::int64_t>(remaining_ms));
+}
+
 Resources Scheduler::TeamFreeCapacity(const TeamId& team) const {
   constexpr std::int64_t kUnbounded = std::numeric_limits<std::int64_t>::max() / 4;
   Resources free_capacity{kUnbounded, kUnbounded, kUnbounded, kUnbounded};
@@ -366,14 +392,10 @@
   if (!m_ports.options.IsOn(CellFeature::kUpstreamSpeeds)) return 0;
   const Job& job = *ref.job;
   const StepSpec& spec = job.spec.steps[ref.step];
-  if (spec.is_long_running || ref.step >= job.time_after_step_ms.size()) return 0;
-  const auto run_ms = static_cast<double>(spec.estimate_ms);
-  const double after_ms = job.time_after_step_ms[ref.step];
-  // Only a job that is late even if it takes much less time than expected makes way for others.
-  const auto optimistic_ms =
-      static_cast<std::int64_t>(std::min((run_ms / m_max_speed + after_ms) * kOptimisticShare, kMaxExpectedMs));
-  const bool can_be_timely = m_now + std::chrono::milliseconds(optimistic_ms) <= job.objective;
-  const Time deadline = can_be_timely ? job.objective : job.hard_deadline;
+  if (spec.is_long_running || ref.step >= job.step_times.size()) return 0;
+  const auto& [run_ms, after_ms] = job.step_times[ref.step];
+  // A job that can't meet its objective makes way for others.
+  const Time deadline = ref.urgency <= Urgency::kTimely ? job.objective : job.hard_deadline;
   const double left_ms = std::chrono::duration<double, std::milli>(deadline - m_now - kStartDelay).count() - after_ms;
   if (left_ms > 0) return run_ms * kRunTimeMargin / left_ms;
   return m_now < deadline ? std::numeric_limits<double>::max() : 0;
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -311,9 +311,11 @@
   RunTimeSample sample;
   sample.run_ms = static_cast<double>(elapsed.count()) / 1000.0 * kPercents / observed_percents;
   sample.relative_error = relative_error;
-  sample.declared_ms = static_cast<double>(spec.estimate_ms);
+  const bool is_predicted = key.step < job.step_times.size();
+  sample.declared_ms = is_predicted ? job.step_times[key.step].run_ms : static_cast<double>(spec.estimate_ms);
   const bool has_changed = m_speeds.Observe(upstream.listing.service.value(), upstream.listing.id, upstream.incarnation,
                                             sample, StepOf(job, key).run_time);
+  if (!IsFinal(job.state)) SetObjective(job);
   if (!has_changed) return;
   m_ports.events.Emit("upstream.speed_changed", {{"upstream", upstream.listing.id.value()},
                                                  {"speed_before", fmt::format("{:.2f}", upstream.speed)}});
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -115,6 +115,12 @@
   std::uint64_t unrecorded_since = 0;  ///< first change that the record of the occurrence lacks, 0 if it is current
 };
 
+/// Expected times of a step at mean upstream speed, in ms.
+struct StepTimes {
+  double run_ms = 0;    ///< of a task
+  double after_ms = 0;  ///< of the longest chain of later steps that wait for the step
+};
+
 /// A job and the state of its tasks.
 struct Job {
   JobId id;
@@ -131,10 +137,10 @@
   std::size_t next_occurrence = 0;                ///< all lower numbers are open or done
   bool has_started = false;                       ///< a task has been started
   Time accepted{};
-  Time objective{};      ///< latest completion that meets the latency objective
-  Time hard_deadline{};  ///< latest completion whose result is of use
-  /// Longest expected time of the later steps that wait for each step, in ms.
-  std::vector<double> time_after_step_ms;
+  Time objective{};              ///< latest completion that meets the latency objective
+  Time hard_deadline{};          ///< latest completion whose result is of use
+  double stretched_path_ms = 0;  ///< part of the objective that grows with the run times
+  std::vector<StepTimes> step_times;
   std::int64_t recorded_at_ms = 0;  ///< store clock at acceptance
 
   // Changes are numbered; those up to `committed_change` are in the store.
--- a/src/placement/upstream_speeds.cc
+++ b/src/placement/upstream_speeds.cc
@@ -127,6 +127,12 @@
   return found == m_upstreams.end() ? 1 : found->second.speed;
 }
 
+double UpstreamSpeeds::RunTimeAtMeanSpeed(const std::string& service, const StepRunTime& step) const {
+  if (step.variance <= 0) return 0;
+  const auto found = m_services.find(service);
+  return std::exp(step.log_ms + (found == m_services.end() ? 0 : found->second.mean_slowness));
+}
+
 UpstreamSpeeds::Service& UpstreamSpeeds::ServiceOf(const std::string& name) {
   return m_services.try_emplace(name, Service{0, 0, kInitialNoise}).first->second;
 }
--- a/src/placement/upstream_speeds.h
+++ b/src/placement/upstream_speeds.h
@@ -47,6 +47,9 @@
   /// known.
   double SpeedOf(const UpstreamId& upstream) const;
 
+  /// Returns the run time of a step at mean speed in ms, 0 if nothing is known.
+  double RunTimeAtMeanSpeed(const std::string& service, const StepRunTime& step) const;
+
   /// Upstreams with observations.
   std::size_t known() const { return m_upstreams.size(); }
   /// Standard deviation of the logarithms of the speeds, as of the last refresh.
--- a/src/placement/upstream_speeds_test.cc
+++ b/src/placement/upstream_speeds_test.cc
@@ -18,6 +18,13 @@
 
   static UpstreamId IdOf(std::size_t index) { return UpstreamId("u" + std::to_string(index)); }
 
+  /// Speeds of which every third is 1.7 and the others are 0.7.
+  static std::vector<double> MixedSpeeds(std::size_t count) {
+    std::vector<double> true_speeds(count, 0.7);
+    for (std::size_t i = 0; i < count; i += 3) true_speeds[i] = 1.7;
+    return true_speeds;
+  }
+
   /// Runs a step on random upstreams.
   void RunStep(const std::vector<double>& true_speeds, int tasks) {
     const double error = std::exp(std::uniform_real_distribution<>(-0.9, 0.9)(m_random));
@@ -41,8 +48,7 @@
 
 // Guards against a learner that takes the error of declared times or a long task for the speed of an upstream.
 TEST_F(UpstreamSpeedsTest, SeparatesFastFromSlowUpstreams) {
-  std::vector<double> true_speeds;
-  for (int i = 0; i < 90; ++i) true_speeds.push_back(i % 3 == 0 ? 1.7 : 0.7);
+  const std::vector<double> true_speeds = MixedSpeeds(90);
   for (int i = 0; i < 300; ++i) RunStep(true_speeds, 3);
   speeds.Refresh();
   for (std::size_t i = 0; i < true_speeds.size(); ++i) {
@@ -82,8 +88,7 @@
 
 // Guards against a restarted machine that keeps the speed of its predecessor, and against a speed for the unknown.
 TEST_F(UpstreamSpeedsTest, NewIncarnationAndUnknownUpstreamHaveMeanSpeed) {
-  std::vector<double> true_speeds;
-  for (int i = 0; i < 30; ++i) true_speeds.push_back(i % 3 == 0 ? 1.7 : 0.7);
+  const std::vector<double> true_speeds = MixedSpeeds(30);
   for (int i = 0; i < 200; ++i) RunStep(true_speeds, 3);
   StepRunTime step{std::log(kDeclaredMs), 0.01};
   speeds.Observe("s", IdOf(0), 2, {kDeclaredMs, 0, kDeclaredMs}, step);
