--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -33,17 +33,30 @@
 /// A gang that is slow across racks waits this long for free capacity on one rack.
 constexpr Duration kMaxRackWait{1'500'000};
 
+/// Penalties of upstreams: where the last run of the task failed, and on another rack than the preferred one.
+constexpr int kFailedOnPenalty = 2;
+constexpr int kOtherRackPenalty = 1;
+
+/// Time between the assignment of a task and the beginning of its run: commit and transfer of the start.
+constexpr Duration kStartDelay{100'000};
+/// A run is expected to take this multiple of the expected run time at most.
+constexpr double kRunTimeMargin = 1.15;
+/// Bound of expected times, so that times computed from them do not overflow.
+constexpr double kMaxExpectedMs = 1e12;
+/// A job counts as late once it is late even if all its expected run times are wrong by this factor, either way.
+constexpr double kRunTimeUncertainty = 1.5;
+
 /// Keeps only the upstreams of one rack: of those with at least `needed` free slots, the one with the fewest.
 /// @return whether there is such a rack; otherwise nothing is changed
-bool KeepOneRack(std::vector<std::pair<std::int64_t, UpstreamState*>>& slots, std::int64_t needed) {
+bool KeepOneRack(std::vector<UpstreamOption>& options, std::int64_t needed) {
   std::map<std::string, std::int64_t> free_capacity;
-  for (const auto& [count, upstream] : slots) free_capacity[upstream->listing.rack] += count;
+  for (const UpstreamOption& option : options) free_capacity[option.upstream->listing.rack] += option.slots;
   const std::pair<const std::string, std::int64_t>* best = nullptr;
   for (const auto& rack : free_capacity) {
     if (rack.second >= needed && (best == nullptr || rack.second < best->second)) best = &rack;
   }
   if (best == nullptr) return false;
-  std::erase_if(slots, [best](const auto& slot) { return slot.second->listing.rack != best->first; });
+  std::erase_if(options, [best](const UpstreamOption& option) { return option.upstream->listing.rack != best->first; });
   return true;
 }
 
@@ -62,9 +75,6 @@
   for (const auto& [id, active] : m_active) {
     Job& job = *active;
     const QueueConfig* queue = nullptr;
-    const Urgency by_time = m_now < job.objective
-                                ? Urgency::kTimely
-                                : (m_now < job.hard_deadline ? Urgency::kLate : Urgency::kPastDeadline);
     for (auto& entry : job.occurrences) {
       const std::size_t k = entry.first;
       Occurrence& occurrence = entry.second;
@@ -81,16 +91,17 @@
         if (!is_ready) continue;
         if (queue == nullptr) queue = QueueOf(job);
         if (queue == nullptr) continue;
-        const Urgency urgency = job.spec.steps[s].is_long_running ? UrgencyOfLongRunning(occurrence.steps[s]) : by_time;
-        refs.push_back({&job, k, s, urgency, queue->priority, job.objective});
+        const Urgency urgency =
+            job.spec.steps[s].is_long_running ? UrgencyOfLongRunning(occurrence.steps[s]) : UrgencyByTime(job, s);
+        refs.push_back({&job, k, s, urgency, queue->priority, LatestStart(job, s)});
       }
     }
   }
   if (refs.empty()) return;
   ListUsableUpstreams();
   std::sort(refs.begin(), refs.end(), [](const StepRef& a, const StepRef& b) {
-    return std::tie(a.urgency, a.priority, a.objective, a.job->id, a.occurrence, a.step) <
-           std::tie(b.urgency, b.priority, b.objective, b.job->id, b.occurrence, b.step);
+    return std::tie(a.urgency, a.priority, a.latest_start, a.job->id, a.occurrence, a.step) <
+           std::tie(b.urgency, b.priority, b.latest_start, b.job->id, b.occurrence, b.step);
   });
   m_waiting_steps = refs.size();
   for (const StepRef& ref : refs) {
@@ -162,9 +173,15 @@
 
 void Scheduler::ListUsableUpstreams() {
   m_by_free_cpu.clear();
+  m_speeds.Refresh();
+  m_max_speed = 0;
   for (auto& [id, upstream] : m_upstreams) {
-    if (IsUsable(upstream)) m_by_free_cpu.emplace_back(upstream.FreeCapacity().cpu_millis, &upstream);
+    if (!IsUsable(upstream)) continue;
+    m_by_free_cpu.emplace_back(upstream.FreeCapacity().cpu_millis, &upstream);
+    if (m_ports.options.IsOn(CellFeature::kUpstreamSpeeds)) upstream.speed = m_speeds.SpeedOf(id);
+    m_max_speed = std::max(m_max_speed, upstream.speed);
   }
+  if (m_max_speed <= 0) m_max_speed = 1;
   std::stable_sort(m_by_free_cpu.begin(), m_by_free_cpu.end(),
                    [](const auto& a, const auto& b) { return a.first > b.first; });
 }
@@ -181,6 +198,34 @@
   return spec.required_label.empty() || upstream.HasLabel(spec.required_label);
 }
 
+Scheduler::Urgency Scheduler::UrgencyByTime(const Job& job, std::size_t step) const {
+  if (!m_ports.options.IsOn(CellFeature::kLearnedRunTimes) || step >= job.step_times.size()) {
+    if (m_now < job.objective) return Urgency::kTimely;
+    return m_now < job.hard_deadline ? Urgency::kLate : Urgency::kPastDeadline;
+  }
+  const StepTimes& times = job.step_times[step];
+  const double remaining_ms = times.run_ms / m_max_speed + times.after_ms;
+  // A longer run also has a later objective. The slack is linear in the factor by which all run times are wrong, so it
+  // is highest at one of the bounds.
+  const auto is_attainable = [this, remaining_ms](Time deadline, double stretched_ms) {
+    const double slack_ms = std::chrono::duration<double, std::milli>(deadline - m_now).count() - remaining_ms;
+    const double gain_ms = stretched_ms - remaining_ms;
+    return slack_ms + std::max(gain_ms * (kRunTimeUncertainty - 1), gain_ms * (1 / kRunTimeUncertainty - 1)) >= 0;
+  };
+  const double hard_stretched_ms = job.stretched_path_ms *
+                                   std::chrono::duration<double>(job.hard_deadline - job.accepted).count() /
+                                   std::max(1e-3, std::chrono::duration<double>(job.objective - job.accepted).count());
+  if (is_attainable(job.objective, job.stretched_path_ms)) return Urgency::kTimely;
+  return is_attainable(job.hard_deadline, hard_stretched_ms) ? Urgency::kLate : Urgency::kPastDeadline;
+}
+
+Time Scheduler::LatestStart(const Job& job, std::size_t step) const {
+  if (!m_ports.options.IsOn(CellFeature::kLearnedRunTimes) || step >= job.step_times.size()) return job.objective;
+  const StepTimes& times = job.step_times[step];
+  const double remaining_ms = std::min(times.run_ms / m_max_speed + times.after_ms, kMaxExpectedMs);
+  return job.objective - std::chrono::milliseconds(static_cast<std::int64_t>(remaining_ms));
+}
+
 Resources Scheduler::TeamFreeCapacity(const TeamId& team) const {
   constexpr std::int64_t kUnbounded = std::numeric_limits<std::int64_t>::max() / 4;
   Resources free_capacity{kUnbounded, kUnbounded, kUnbounded, kUnbounded};
@@ -262,24 +307,23 @@
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   const Resources team_free_capacity = TeamFreeCapacity(ref.job->team);
   if (!spec.total_demand().FitsIn(team_free_capacity)) return false;
-  std::vector<std::pair<std::int64_t, UpstreamState*>> slots;
+  std::vector<UpstreamOption> options;
   std::int64_t total = 0;
   for (UpstreamState* upstream : candidates) {
-    const std::int64_t count = CountSlots(ref, *upstream, upstream->FreeCapacity());
-    if (count > 0) slots.emplace_back(count, upstream);
-    total += count;
+    const UpstreamOption option = MakeOption(ref, *upstream);
+    if (option.slots > 0) options.push_back(option);
+    total += option.slots;
   }
   if (total < spec.task_count) return false;
-  if (spec.same_rack && !KeepOneRack(slots, spec.task_count) && m_now - ref.job->accepted < kMaxRackWait) return false;
-  // Best fit: the fullest upstreams first, which avoids fragmentation of the others.
-  std::stable_sort(slots.begin(), slots.end(), [](const auto& a, const auto& b) {
-    return a.second->FreeCapacity().cpu_millis < b.second->FreeCapacity().cpu_millis;
-  });
+  if (spec.same_rack && !KeepOneRack(options, spec.task_count) && m_now - ref.job->accepted < kMaxRackWait) {
+    return false;
+  }
   ShareCheckpoint(ref.job->occurrences.at(ref.occurrence).steps[ref.step]);
+  UpstreamSelector(RequiredSpeed(ref)).ChooseForGang(options, spec.task_count);
   std::size_t index = 0;
-  for (const auto& [count, upstream] : slots) {
-    for (std::int64_t i = 0; i < count && index < static_cast<std::size_t>(spec.task_count); ++i, ++index) {
-      Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, index}, upstream->listing.id);
+  for (const UpstreamOption& option : options) {
+    for (std::int64_t i = 0; i < option.slots && index < static_cast<std::size_t>(spec.task_count); ++i, ++index) {
+      Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, index}, option.upstream->listing.id);
     }
   }
   return true;
@@ -301,33 +345,62 @@
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   Resources team_free_capacity = TeamFreeCapacity(ref.job->team);
+  if (!spec.demand.FitsIn(team_free_capacity)) return;
+  std::vector<UpstreamOption> options;
+  for (UpstreamState* upstream : candidates) {
+    if (m_reserved_upstreams.contains(upstream->listing.id)) continue;
+    const UpstreamOption option = MakeOption(ref, *upstream);
+    if (option.slots > 0) options.push_back(option);
+  }
+  if (options.empty()) return;
+  const UpstreamSelector selector(RequiredSpeed(ref));
   for (std::size_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
     TaskState& task = step.tasks[i];
     if (task.phase != TaskPhase::kWaiting) continue;
     if (!spec.demand.FitsIn(team_free_capacity)) return;
-    UpstreamState* best = nullptr;
-    double best_score = std::numeric_limits<double>::max();
-    for (UpstreamState* upstream : candidates) {
-      if (CountSlots(ref, *upstream, upstream->FreeCapacity()) < 1) continue;
-      if (m_reserved_upstreams.contains(upstream->listing.id)) continue;
-      const Resources& capacity = upstream->listing.capacity;
-      const Resources free = upstream->FreeCapacity();
-      double score =
-          static_cast<double>(free.cpu_millis) / static_cast<double>(std::max<std::int64_t>(1, capacity.cpu_millis)) +
-          static_cast<double>(free.memory_mb) / static_cast<double>(std::max<std::int64_t>(1, capacity.memory_mb));
-      if (!spec.preferred_rack.empty() && !upstream->HasLabel(spec.preferred_rack)) score += 4;
-      if (task.failed_on == upstream->listing.id) score += 8;
-      if (score < best_score) {
-        best_score = score;
-        best = upstream;
-      }
-    }
+    const auto failed_on = std::find_if(options.begin(), options.end(), [&task](const UpstreamOption& option) {
+      return option.upstream->listing.id == task.failed_on;
+    });
+    if (failed_on != options.end()) failed_on->penalty += kFailedOnPenalty;
+    UpstreamOption* best = selector.ChooseForTask(options);
+    if (failed_on != options.end()) failed_on->penalty -= kFailedOnPenalty;
     if (best == nullptr) return;
-    Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, i}, best->listing.id);
+    Assign(*ref.job, TaskKey{ref.job->id, ref.occurrence, ref.step, i}, best->upstream->listing.id);
+    *best = MakeOption(ref, *best->upstream);
     team_free_capacity -= spec.demand;
   }
 }
 
+UpstreamOption Scheduler::MakeOption(const StepRef& ref, UpstreamState& upstream) const {
+  const StepSpec& spec = ref.job->spec.steps[ref.step];
+  const Resources free = upstream.FreeCapacity();
+  UpstreamOption option;
+  option.upstream = &upstream;
+  option.slots = CountSlots(ref, upstream, free);
+  option.speed = upstream.speed;
+  const auto share = [](std::int64_t available, std::int64_t capacity) {
+    return static_cast<double>(available) / static_cast<double>(std::max<std::int64_t>(1, capacity));
+  };
+  option.free_share = share(free.cpu_millis, upstream.listing.capacity.cpu_millis) +
+                      share(free.memory_mb, upstream.listing.capacity.memory_mb);
+  const bool is_remote = !spec.preferred_rack.empty() && !upstream.HasLabel(spec.preferred_rack);
+  option.penalty = is_remote ? kOtherRackPenalty : 0;
+  return option;
+}
+
+double Scheduler::RequiredSpeed(const StepRef& ref) const {
+  if (!m_ports.options.IsOn(CellFeature::kUpstreamSpeeds)) return 0;
+  const Job& job = *ref.job;
+  const StepSpec& spec = job.spec.steps[ref.step];
+  if (spec.is_long_running || ref.step >= job.step_times.size()) return 0;
+  const auto& [run_ms, after_ms] = job.step_times[ref.step];
+  // A job that can't meet its objective makes way for others.
+  const Time deadline = ref.urgency <= Urgency::kTimely ? job.objective : job.hard_deadline;
+  const double left_ms = std::chrono::duration<double, std::milli>(deadline - m_now - kStartDelay).count() - after_ms;
+  if (left_ms > 0) return run_ms * kRunTimeMargin / left_ms;
+  return m_now < deadline ? std::numeric_limits<double>::max() : 0;
+}
+
 bool Scheduler::MayReserveUpstreams(const StepRef& ref) const {
   if (ref.urgency > Urgency::kTimely || m_now - ref.job->accepted < kReservationDelay) return false;
   return ref.job->spec.steps[ref.step].total_demand().FitsIn(TeamFreeCapacity(ref.job->team));
@@ -337,7 +410,10 @@
   if (m_reserved_upstreams.size() >= candidates.size() + kMaxReservingGangs * kReservedUpstreamsPerGang) return;
   const StepSpec& spec = ref.job->spec.steps[ref.step];
   std::vector<UpstreamState*> ordered = candidates;
-  std::stable_sort(ordered.begin(), ordered.end(), [](const auto* a, const auto* b) {
+  const UpstreamSelector selector(RequiredSpeed(ref));
+  std::stable_sort(ordered.begin(), ordered.end(), [&selector](const UpstreamState* a, const UpstreamState* b) {
+    const bool is_sufficient = selector.IsSufficient(a->speed);
+    if (is_sufficient != selector.IsSufficient(b->speed)) return is_sufficient;
     return a->FreeCapacity().cpu_millis > b->FreeCapacity().cpu_millis;
   });
   std::int64_t reserved_slots = 0;
