Count waiting work by its cause for admission

Cause: a submission compared its slack with all waiting work of equal or higher priority, whatever it waited for, and recomputed the sum from all active jobs. Work at the limit of its organisation, without a ticket or of a waiting gang made jobs be refused while upstreams were free.

Change: the placement pass adds up waiting work by service, cause and priority (WaitingWork). AdmissionController decides on a request that separates the waits; a job that fits into the free capacity is not refused because of a queue that cannot use it. The switch admission_by_cause brings back the former decision.

Tests: AcceptedAmountsAreReadByNewLeader and WaitReasonTest submit jobs that cannot be served, which admission now refuses (1,000 tasks of 2^40 cores; a service without upstreams). They check records and reported reasons, so they run with the switch off; their checks are unchanged, and RefusesWhatCannotBeServed checks the refusal.

--- a/cmake/platform_entry.cmake
+++ b/cmake/platform_entry.cmake
@@ -1,6 +1,7 @@
 # Release build of the one program that runs on the platform.
 file(GLOB entry_sources CONFIGURE_DEPENDS
-  src/jobs/*.cc src/cell/*.cc src/instance/*.cc platform/*.cc
+  src/jobs/*.cc src/cell/*.cc src/instance/*.cc src/placement/run_time_model.cc
+  platform/*.cc
   src/base/json.cc src/base/json_object.cc src/base/field_reader.cc src/base/url.cc src/model/path.cc src/model/utf8.cc
   src/net/endpoint.cc src/net/http_client.cc src/net/http_client_connection.cc src/net/http_client_host.cc
   src/net/http_message.cc src/net/http_server.cc src/net/io_pool.cc src/net/problem.cc src/net/tls_context.cc)
--- a/src/cell/admission_controller_test.cc
+++ b/src/cell/admission_controller_test.cc
@@ -60,5 +60,100 @@
   EXPECT_FALSE(admission.Decide(TeamId("a"), load, Time(Duration(1))).is_admitted);
 }
 
+/// A job of 20 cores for 2 s that may wait for 4 s, in a full cell of 1,000 cores without a queue.
+AdmissionRequest SmallJob() {
+  AdmissionRequest request;
+  request.needed_cores = 20;
+  request.work_core_s = 40;
+  request.critical_path_s = 2;
+  request.slack_s = 4;
+  request.useful_s = 18;
+  request.weight = 10;
+  request.total_cores = 1000;
+  return request;
+}
+
+AdmissionDecision Decide(const AdmissionRequest& request) {
+  AdmissionController admission;
+  return admission.Decide(TeamId("a"), request, Time(Duration(1)));
+}
+
+// Guards against refusals while upstreams that could run the job are free, because of a queue that cannot use them.
+TEST(AdmissionByCauseTest, AdmitsJobThatFitsIntoFreeCapacityWhateverTheQueue) {
+  AdmissionRequest request = SmallJob();
+  request.queued_core_s = 1e6;
+  EXPECT_EQ(Decide(request).cause, RefusalCause::kTooLate);
+  request.free_cores = 20;
+  EXPECT_TRUE(Decide(request).is_admitted);
+  request.claimed_cores = 500;
+  request.claimed_core_s = 1000;
+  EXPECT_FALSE(Decide(request).is_admitted) << "work with a ticket soon takes the free cores";
+}
+
+// Guards against jobs that wait for the queue although part of their tasks start at once, and against gangs that are
+// taken for such jobs.
+TEST(AdmissionByCauseTest, CountsOnlyTasksThatDoNotFitAsWaiting) {
+  AdmissionRequest request = SmallJob();
+  request.queued_core_s = 6000;
+  request.free_cores = 10;
+  EXPECT_DOUBLE_EQ(AdmissionController::WaitForCores(request), 3);
+  request.is_gang = true;
+  EXPECT_DOUBLE_EQ(AdmissionController::WaitForCores(request), 6);
+}
+
+// Guards against jobs that take capacity although their result will be of no use, and against refusals of late jobs
+// that name another cause.
+TEST(AdmissionByCauseTest, RefusesWhatCannotBeServedAndNamesTheCause) {
+  AdmissionRequest request = SmallJob();
+  request.can_fit = false;
+  EXPECT_EQ(Decide(request).cause, RefusalCause::kNoFit);
+  request = SmallJob();
+  request.work_core_s = 19'000;
+  EXPECT_EQ(Decide(request).cause, RefusalCause::kTooLate) << "19 s on all cores";
+  request = SmallJob();
+  request.queued_core_s = 4000;
+  EXPECT_EQ(Decide(request).cause, RefusalCause::kCores);
+  EXPECT_EQ(Decide(request).retry_after_s, 1) << "in 0.8 s the expected wait is four fifths of the slack";
+  request.policy_wait_s = 5;
+  EXPECT_EQ(Decide(request).cause, RefusalCause::kPolicy);
+  request = SmallJob();
+  request.total_cores = 0;
+  EXPECT_EQ(Decide(request).cause, RefusalCause::kNoUpstream);
+}
+
+// Guards against an organisation at its limit whose jobs are accepted and then wait for its own work.
+TEST(AdmissionByCauseTest, CountsQueueAtTheLimitOfTheOrganisation) {
+  AdmissionRequest request = SmallJob();
+  request.free_cores = 20;
+  request.team_wait_s = 15;
+  EXPECT_TRUE(Decide(request).is_admitted);
+  request.team_wait_s = 17;
+  EXPECT_EQ(Decide(request).cause, RefusalCause::kTeamLimit);
+  request.team_wait_s = 3;
+  request.weight = 0;
+  EXPECT_EQ(Decide(request).cause, RefusalCause::kNone);
+  AdmissionController admission;
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_TRUE(admission.Decide(TeamId("a"), request, Time(Duration(1))).is_admitted)
+        << "its own queue delays no other organisation, so its weight does not matter";
+  }
+}
+
+// Load pattern: one organisation sends 7.5 times its weight into a full cell, another one sends a single job.
+// Guards against a burst that takes the queue capacity of the others, and against its refusal while capacity is free.
+TEST(AdmissionByCauseTest, BurstBeyondTheWeightWaitsOrIsRefused) {
+  AdmissionController admission;
+  const Time now(Duration(1'000'000));
+  AdmissionRequest request = SmallJob();
+  request.queued_core_s = 600;
+  int admitted = 0;
+  for (int i = 0; i < 75; ++i) admitted += admission.Decide(TeamId("hot"), request, now).is_admitted ? 1 : 0;
+  EXPECT_EQ(admitted, 20) << "burst of two seconds of its weight";
+  EXPECT_EQ(admission.Decide(TeamId("hot"), request, now).cause, RefusalCause::kBeyondWeight);
+  EXPECT_TRUE(admission.Decide(TeamId("other"), request, now).is_admitted);
+  request.free_cores = 20;
+  EXPECT_TRUE(admission.Decide(TeamId("hot"), request, now).is_admitted);
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -19,14 +19,17 @@
 #include "cell/group_committer.h"
 #include "cell/lease_record.h"
 #include "cell/policy_call_dispatcher.h"
+#include "cell/policy_call_planner.h"
 #include "cell/policy_client.h"
 #include "cell/record_log.h"
 #include "cell/refused_calls.h"
 #include "cell/upstream_client.h"
 #include "cell/upstream_state.h"
 #include "cell/wait_reason.h"
+#include "cell/waiting_work.h"
 #include "jobs/cell_config.h"
 #include "jobs/job.h"
+#include "placement/run_time_model.h"
 
 namespace jaymast {
 
@@ -76,7 +79,10 @@
   /// Unlists all upstreams that are not in the complete list.
   void OnUpstreamListComplete(const std::set<UpstreamId>& listed);
 
-  void SetPolicyCallers(const std::vector<std::string>& addresses) { m_policy_calls.SetPolicyCallers(addresses); }
+  void SetPolicyCallers(const std::vector<std::string>& addresses) {
+    m_policy_calls.SetPolicyCallers(addresses);
+    m_policy_callers = addresses.size();
+  }
   /// Ignores all later callbacks.
   void Retire() { m_is_retired = true; }
   void SetLeadershipStatus(const LeadershipStatus& status) { m_leadership = status; }
@@ -103,6 +109,7 @@
   /// Steps with waiting tasks, as of the last placement pass.
   std::size_t waiting_steps() const { return m_waiting_steps; }
   const PolicyCallDispatcher& policy_calls() const { return m_policy_calls; }
+  const WaitingWork& waiting_work() const { return m_waiting_work; }
 
  private:
   /// Tasks of earlier leaders on unreachable upstreams have ended this long after the takeover, as no lease lasts
@@ -173,6 +180,36 @@
               const ClientReplyFunction& reply);
   void Cancel(const JobId& id, const ClientReplyFunction& reply);
   std::int64_t CountWaitingJobs(const QueueId& queue) const;
+  /// Time after which a caller that is refused during an outage of the store should retry, in seconds.
+  std::int64_t OutageRetryAfterS(std::int64_t priority);
+  AdmissionDecision DecideAdmission(Job& job, const QueueConfig& queue);
+  /// The load while `admission_by_cause` is off.
+  AdmissionLoad DescribeLoad(const Job& job, const QueueConfig& queue) const;
+  AdmissionRequest DescribeRequest(Job& job, const QueueConfig& queue);
+  /// Adds the work of the job, its objective and its expected policy calls.
+  void DescribeWork(Job& job, const QueueConfig& queue, AdmissionRequest& request) const;
+  /// Adds the free capacity that the first steps of the job could use.
+  void CountFreeCores(Job& job, const QueueConfig& queue, AdmissionRequest& request) const;
+  /// Whether the upstreams in service and the limit of the organisation can hold the step. True while there are none.
+  bool CanEverFit(Job& job, std::size_t step, const QueueConfig& queue) const;
+  /// Whether the upstream belongs to the service and is not about to leave. It may be silent at present.
+  bool IsInService(const UpstreamState& upstream, const ServiceId& service) const;
+  /// Like IsUsable(), but right after a takeover also upstreams that have not replied yet.
+  bool IsExpectedUsable(const UpstreamState& upstream, const ServiceId& service) const;
+  bool IsAdopting() const { return m_now - m_took_over_at < kAdoptionTime; }
+  /// Cores of the usable upstreams of a service.
+  double UsableCores(const ServiceId& service);
+  double WeightOf(const TeamId& team) const;
+  double ExpectedRunMs(const QueueConfig& queue, const StepSpec& step) const;
+  /// Expected wait of a new step for its policy call. The queue has a policy.
+  double ExpectedPolicyWaitMs(const QueueConfig& queue) const;
+  WaitCause FindWaitCause(const StepRef& ref, bool is_ready) const;
+  /// Adds the waiting tasks of a step to the sums, after it was placed.
+  /// @param is_ready whether the steps that it depends on are done
+  void CountWaitingStep(const StepRef& ref, bool is_ready);
+  /// Adds the tasks of a job that was accepted after the last placement pass.
+  void CountAcceptedWork(const Job& job, const QueueConfig& queue);
+  WaitingAmount AmountOf(const Job& job, const QueueConfig& queue, const StepSpec& spec, const StepState& step) const;
 
   // scheduler_orders.cc
   void Assign(Job& job, const TaskKey& key, const UpstreamId& upstream);
@@ -294,6 +331,13 @@
   RefusedCalls m_refused_calls;
   PolicyCallDispatcher m_policy_calls;
   AdmissionController m_admission;
+  WaitingWork m_waiting_work;  ///< as of the last placement pass, with the jobs accepted since
+  RunTimeModel m_run_times;
+  PolicyCallPlanner m_policy_planner;
+  std::size_t m_policy_callers = 0;
+  std::int64_t m_outage_refusals = 0;
+  std::map<ServiceId, double> m_usable_cores;  ///< as of m_usable_cores_at
+  Time m_usable_cores_at{};
   std::map<QueueId, double> m_allowed_share;  ///< running mean of the share of upstreams that the policy allows
   /// Usable upstreams with their free CPU at the start of the placement pass, in descending order.
   std::vector<std::pair<std::int64_t, UpstreamState*>> m_by_free_cpu;
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -57,6 +57,7 @@
   m_ticket_seekers.clear();
   m_longest_wait = Duration::zero();
   m_waiting_steps = 0;
+  m_waiting_work.Clear();
   std::vector<StepRef> refs;
   if (m_config == nullptr) return;
   for (const auto& [id, active] : m_active) {
@@ -78,6 +79,7 @@
         const bool is_ready =
             std::all_of(dependencies.begin(), dependencies.end(),
                         [&occurrence](std::size_t dependency) { return occurrence.steps[dependency].not_done == 0; });
+        if (!is_ready) CountWaitingStep({&job, k, s, by_time}, false);
         if (!is_ready) continue;
         if (queue == nullptr) queue = QueueOf(job);
         if (queue == nullptr) continue;
@@ -95,6 +97,7 @@
   m_waiting_steps = refs.size();
   for (const StepRef& ref : refs) {
     PlaceStep(ref);
+    CountWaitingStep(ref, true);
     ObserveWait(ref);
   }
   RequestTicketsFor(m_ticket_seekers);
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -395,6 +395,7 @@
   gauges["jaymast_unacknowledged_ends"] = static_cast<double>(scheduler.CountUnacknowledgedEnds());
   gauges["jaymast_longest_wait_seconds"] = std::chrono::duration<double>(scheduler.longest_wait()).count();
   gauges["jaymast_waiting_steps"] = static_cast<double>(scheduler.waiting_steps());
+  scheduler.waiting_work().AddGauges(gauges);
   gauges["jaymast_open_policy_calls"] = static_cast<double>(scheduler.policy_calls().CountOpenCalls());
   gauges["jaymast_blocked_policy_callers"] = static_cast<double>(scheduler.policy_calls().CountBlockedCallers());
   gauges["jaymast_followers"] = static_cast<double>(m_followers.size());
--- a/src/instance/cell_takeover_test.cc
+++ b/src/instance/cell_takeover_test.cc
@@ -280,7 +280,8 @@
 
 // Guards against an accepted job that a new leader cannot read because of a number outside the range of its records.
 TEST(CellTakeoverTest, AcceptedAmountsAreReadByNewLeader) {
-  SimulatedCluster cluster(2, 2);
+  // Admission by cause refuses jobs that all cores together could not complete in time.
+  SimulatedCluster cluster(2, 2, 8000, CellOptions{{CellFeature::kAdmissionByCause}});
   cluster.Run(seconds(2));
   cluster.Call(0, "POST", "large_time", "tasks=1 ms=9000000000000000000");
   cluster.Call(0, "POST", "large_cpu", "tasks=1000 cpu=9000000000000000000");
--- a/src/instance/cell_wait_test.cc
+++ b/src/instance/cell_wait_test.cc
@@ -22,7 +22,8 @@
 
 // Guards against waiting steps that leave no line in the log, or one with a wrong reason.
 TEST_P(WaitReasonTest, IsReported) {
-  SimulatedCluster cluster(3, 2);
+  // Admission by cause refuses jobs that no upstream can run.
+  SimulatedCluster cluster(3, 2, 8000, CellOptions{{CellFeature::kAdmissionByCause}});
   cluster.config->queues.front().policy = PolicyConfig{20, 1, 2000};
   GetParam().prepare(cluster);
   cluster.Run(seconds(2));
