Bound what all connections of a server or client hold together

Cause: the limits of the HTTP parser apply to one request. Trailers of a chunked body were collected in a read buffer without a limit, and nothing bounded the sum over connections, the read replies, or the connections that a process with few descriptors accepts. Unfinished requests could occupy all connections of a server.

Change: the read buffer of server and client is bounded, which bounds trailers and chunk headers. MemoryBudget bounds the bytes of all connections of a server: of requests being read, of requests without a response (the body counts four times for its copies), and of responses that are being written. If it is used up, the transfer that has held memory longest is given up, first among those above 64 KiB: a request gets 503, not_run and Retry-After, a slow reader is disconnected. Requests that wait for their response are kept, as they may have run. A full server closes the connection with the oldest unfinished request. Replies that an HTTP client reads have such a budget too. Idle connections hold 512 bytes instead of 8 KiB and no request or response. jaymast-platform-entry derives all limits from limits.memoryMb and limits.fileDescriptors (ConnectionLimits); jaymast-entry has the settings http.max_held_bytes and upstream.max_held_bytes. Counters are at /metrics.

The new unit tests use functions that did not exist before, so they were not run without the change.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -7,21 +7,26 @@
 
 #include "net/http_client_host.h"
 #include "net/io_pool.h"
+#include "net/memory_budget.h"
 
 namespace jaymast {
 
 struct HttpClient::Shared {
-  Shared(IoPool& io_pool, HttpClientOptions client_options) : pool(io_pool), options(std::move(client_options)) {}
+  Shared(IoPool& io_pool, HttpClientOptions client_options)
+      : pool(io_pool),
+        options(std::move(client_options)),
+        budget(std::make_shared<MemoryBudget>(options.max_held_bytes)) {}
 
   std::shared_ptr<HttpClientHost> Host(const std::string& address) {
     const std::lock_guard lock(mutex);
     std::shared_ptr<HttpClientHost>& host = hosts[address];
-    if (host == nullptr) host = std::make_shared<HttpClientHost>(pool.Context(next++), address, options);
+    if (host == nullptr) host = std::make_shared<HttpClientHost>(pool.Context(next++), address, options, budget);
     return host;
   }
 
   IoPool& pool;
   const HttpClientOptions options;
+  const std::shared_ptr<MemoryBudget> budget;
   std::mutex mutex;  ///< guards hosts and next
   std::unordered_map<std::string, std::shared_ptr<HttpClientHost>> hosts;
   std::size_t next = 0;
@@ -32,6 +37,10 @@
 
 HttpClient::~HttpClient() = default;
 
+std::size_t HttpClient::held_bytes() const { return m_shared->budget->held_bytes(); }
+
+std::uint64_t HttpClient::evicted_responses() const { return m_shared->budget->evicted(); }
+
 void HttpClient::Send(const std::string& address, HttpRequest request, Deadline deadline, Callback done) {
   const auto shared_request = std::make_shared<HttpRequest>(std::move(request));
   Send(
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,6 +39,8 @@
   std::size_t max_connections_per_host = 64;
   std::size_t max_queued_per_host = 4096;  ///< requests that wait for a connection
   std::size_t max_response_bytes = 64U << 20U;
+  std::size_t max_header_bytes = 16U << 10U;  ///< of the header of a response, and of its trailers
+  std::size_t max_held_bytes = 256U << 20U;   ///< of the responses of all addresses that are being read
   std::chrono::milliseconds connect_timeout{3'000};
   /// Whether a missed deadline also closes the idle connections to the address, as they may be dead as well.
   bool closes_idle_on_timeout = false;
@@ -68,6 +71,11 @@
   /// Sends the request that `make_request` creates on an I/O thread, so that the calling thread does not encode it.
   void Send(const std::string& address, std::function<HttpRequest()> make_request, Deadline deadline, Callback done);
 
+  /// Bytes of the responses that are being read.
+  std::size_t held_bytes() const;
+  /// Number of responses that were given up because all together exceeded max_held_bytes.
+  std::uint64_t evicted_responses() const;
+
  private:
   struct Shared;
   std::shared_ptr<Shared> m_shared;
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "net/http_client_host.h"
+#include "net/memory_budget.h"
 #include "net/tls_context.h"
 
 namespace jaymast {
@@ -52,16 +53,23 @@
 }
 
 template <typename Stream>
-class Connection : public HttpClientConnection, public std::enable_shared_from_this<Connection<Stream>> {
+class Connection : public HttpClientConnection,
+                   public MemoryBudget::Holder,
+                   public std::enable_shared_from_this<Connection<Stream>> {
  public:
   Connection(const std::shared_ptr<HttpClientHost>& host, Stream stream,
              std::shared_ptr<boost::asio::ssl::context> context)
       : m_host(host),
         m_address(host->address()),
         m_max_response_bytes(host->options().max_response_bytes),
+        m_max_header_bytes(host->options().max_header_bytes),
         m_connect_timeout(host->options().connect_timeout),
         m_tls_context(std::move(context)),
-        m_stream(std::move(stream)) {}
+        m_budget(host->budget()),
+        m_stream(std::move(stream)),
+        m_buffer(host->options().max_header_bytes + kReadChunkBytes) {}
+
+  ~Connection() override { m_budget->Release(this); }
 
   void Connect(const boost::asio::ip::tcp::endpoint& endpoint) override {
     Lowest().expires_after(m_connect_timeout);
@@ -88,9 +96,17 @@
     if (m_is_closed) return;
     m_is_closed = true;
     Lowest().close();
+    m_budget->Release(this);
     if (const auto host = m_host.lock()) host->OnClosed();
   }
 
+  void Evict() override {
+    // The pending read fails, and its handler completes the request.
+    boost::asio::post(Lowest().get_executor(), [self = Self()] {
+      if (self->m_is_reading) self->Close();
+    });
+  }
+
   bool IsStale() override {
     std::array<char, 1> byte{};
     const ssize_t size = ::recv(Lowest().socket().native_handle(), byte.data(), byte.size(), MSG_PEEK | MSG_DONTWAIT);
@@ -103,6 +119,7 @@
 
  private:
   static constexpr bool kIsTls = !std::is_same_v<Stream, tcp_stream>;
+  static constexpr std::size_t kReadChunkBytes = 8192;
   using Parser = http::response_parser<http::string_body>;
 
   auto Self() { return this->shared_from_this(); }
@@ -132,18 +149,37 @@
 
   void Read(const std::shared_ptr<PendingRequest>& pending) {
     m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_max_header_bytes));
     m_parser->body_limit(m_max_response_bytes);
-    http::async_read(m_stream, m_buffer, *m_parser, [self = Self(), pending](ErrorCode ec, std::size_t) {
+    m_parser->eager(true);
+    m_is_reading = true;
+    ReadSome(pending);
+  }
+
+  /// Reads the response in parts and counts each part before the next one is read.
+  void ReadSome(const std::shared_ptr<PendingRequest>& pending) {
+    http::async_read_some(m_stream, m_buffer, *m_parser, [self = Self(), pending](ErrorCode ec, std::size_t) {
       if (ec) return self->Fail(*pending, ec, false);
-      self->Finish(*pending);
+      if (self->m_parser->is_done()) return self->Finish(*pending);
+      const std::size_t bytes = self->m_buffer.capacity() + self->m_parser->get().body().capacity();
+      if (!self->m_budget->Hold(self, bytes, MemoryBudget::Phase::kTransfer)) {
+        return self->Fail(*pending, http::error::body_limit, false);
+      }
+      self->ReadSome(pending);
     });
   }
 
   void Finish(PendingRequest& pending) {
+    m_is_reading = false;
+    m_budget->Release(this);
     auto& message = m_parser->get();
     // Bytes after the response belong to no request, so a connection with such bytes is not reused.
     const bool is_reusable = message.keep_alive() && m_buffer.size() == 0 && !m_is_closed;
     HttpResult result{SendStatus::kAnswered, ToResponse(message), ""};
+    // Idle connections hold neither the request nor a buffer.
+    m_request = {};
+    m_parser.reset();
+    if (is_reusable) m_buffer.shrink_to_fit();
     if (is_reusable) {
       BecomeIdle();
     } else {
@@ -168,13 +204,16 @@
   const std::weak_ptr<HttpClientHost> m_host;
   const std::string m_address;
   const std::size_t m_max_response_bytes;
+  const std::size_t m_max_header_bytes;
   const std::chrono::milliseconds m_connect_timeout;
   const std::shared_ptr<boost::asio::ssl::context> m_tls_context;
+  const std::shared_ptr<MemoryBudget> m_budget;
   Stream m_stream;
   boost::beast::flat_buffer m_buffer;
   http::request<http::string_body> m_request;
   std::optional<Parser> m_parser;
   std::chrono::steady_clock::time_point m_idle_since;
+  bool m_is_reading = false;
   bool m_is_closed = false;
 };
 
--- a/src/net/http_client_host.cc
+++ b/src/net/http_client_host.cc
@@ -8,8 +8,13 @@
 
 namespace jaymast {
 
-HttpClientHost::HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options)
-    : m_context(context), m_address(std::move(address)), m_options(options), m_idle_sweep_timer(context) {}
+HttpClientHost::HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options,
+                               std::shared_ptr<MemoryBudget> budget)
+    : m_context(context),
+      m_address(std::move(address)),
+      m_options(options),
+      m_budget(std::move(budget)),
+      m_idle_sweep_timer(context) {}
 
 void HttpClientHost::Send(HttpRequest request, HttpClient::Deadline deadline, HttpClient::Callback done) {
   const auto pending = std::make_shared<PendingRequest>(m_context, std::move(request), std::move(done));
--- a/src/net/http_client_host.h
+++ b/src/net/http_client_host.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "net/http_client.h"
+#include "net/memory_budget.h"
 
 namespace jaymast {
 
@@ -30,11 +31,13 @@
 /// io_context, except for context().
 class HttpClientHost : public std::enable_shared_from_this<HttpClientHost> {
  public:
-  HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options);
+  HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options,
+                 std::shared_ptr<MemoryBudget> budget);
 
   boost::asio::io_context& context() { return m_context; }
   const HttpClientOptions& options() const { return m_options; }
   const std::string& address() const { return m_address; }
+  const std::shared_ptr<MemoryBudget>& budget() const { return m_budget; }
 
   /// Sends a request, or queues it until a connection is available.
   void Send(HttpRequest request, HttpClient::Deadline deadline, HttpClient::Callback done);
@@ -68,6 +71,7 @@
   boost::asio::io_context& m_context;
   const std::string m_address;
   const HttpClientOptions m_options;
+  const std::shared_ptr<MemoryBudget> m_budget;  ///< of the responses of all hosts of the client
   std::deque<PendingPtr> m_queued;
   std::vector<std::shared_ptr<HttpClientConnection>> m_idle;  ///< ordered by last use, most recent last
   boost::asio::steady_timer m_idle_sweep_timer;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/ssl/error.hpp>
 #include <utility>
@@ -16,6 +17,12 @@
 using boost::beast::tcp_stream;
 
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+/// A few hundred requests of the usual 4,000 bytes fit, with their copies, however small max_body_bytes is.
+constexpr std::size_t kMinDefaultHeldBytes = 8U << 20U;
+constexpr std::size_t kDefaultHeldBodies = 32;
+/// Memory of the header, trailers and read buffer of one request in multiples of max_header_bytes, if all fields are
+/// empty.
+constexpr std::size_t kMaxHeaderOverhead = 128;
 
 /// TLS stream that keeps its parameters alive, because a reload replaces them in the server.
 struct TlsStream : boost::beast::ssl_stream<tcp_stream> {
@@ -30,7 +37,7 @@
     const HttpResponse problem =
         ProblemResponse(503, Error{ErrorId::kQueueFull, "connection", "too many connections"}, Verdict::kNotRun);
     return "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/problem+json\r\nJaymast-Verdict: not_run\r\n"
-           "Connection: close\r\nContent-Length: " +
+           "Retry-After: 1\r\nConnection: close\r\nContent-Length: " +
            std::to_string(problem.body.size()) + "\r\n\r\n" + problem.body;
   }();
   boost::system::error_code ignored;
@@ -78,7 +85,7 @@
   void Serve(Tcp::socket socket) {
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
-    if (IsFull()) {
+    if (!m_shared->MakeRoom()) {
       ++m_shared->refused;
       return RejectConnection(std::move(socket));
     }
@@ -92,11 +99,6 @@
     }
   }
 
-  bool IsFull() {
-    const std::lock_guard lock(m_shared->mutex);
-    return m_shared->connections.size() >= m_shared->options.max_connections;
-  }
-
   template <typename Stream>
   void Start(boost::asio::io_context& context, Stream stream) {
     auto connection = std::make_shared<HttpServerConnection<Stream>>(m_shared, std::move(stream));
@@ -111,6 +113,13 @@
 
 }  // namespace
 
+std::size_t HttpServerOptions::EffectiveMaxHeldBytes() const {
+  const std::size_t wanted =
+      max_held_bytes > 0 ? max_held_bytes : std::max(kMinDefaultHeldBytes, kDefaultHeldBodies * max_body_bytes);
+  // A string may have twice the capacity of its text.
+  return std::max(wanted, 2 * kCopiesOfBody * max_body_bytes + kMaxHeaderOverhead * max_header_bytes);
+}
+
 Result<std::unique_ptr<HttpServer>> HttpServer::Listen(IoPool& pool, HttpServerOptions options, Handler handler) {
   const Result<Tcp::endpoint> endpoint = ParseEndpoint(options.address);
   if (!endpoint) return endpoint.error();
@@ -156,6 +165,16 @@
 
 std::uint64_t HttpServer::refused_connections() const { return m_shared->refused; }
 
+std::map<std::string, double> HttpServer::LimitMetrics() const {
+  return {{"held_bytes", static_cast<double>(m_shared->budget.held_bytes())},
+          {"open_connections", static_cast<double>(open_connections())},
+          {"refused_connections", static_cast<double>(m_shared->refused)},
+          {"evicted_connections", static_cast<double>(m_shared->evicted_connections)},
+          {"refused_bodies", static_cast<double>(m_shared->refused_for_body)},
+          {"refused_headers", static_cast<double>(m_shared->refused_for_header)},
+          {"refused_for_memory", static_cast<double>(m_shared->refused_for_memory)}};
+}
+
 void HttpServer::BeginShutdown() {
   if (m_shared->is_shutting_down.exchange(true)) return;
   boost::asio::post(m_shared->acceptor.get_executor(), [shared = m_shared] {
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -262,5 +262,106 @@
   EXPECT_NE(second.error().reason.find("cannot listen"), std::string::npos);
 }
 
+// Guards against trailers that are stored as header fields without a limit.
+TEST_F(HttpTest, TrailersOverTheHeaderLimitAreRefused) {
+  HttpServerOptions options;
+  options.max_header_bytes = 4096;
+  Listen(Echo, options);
+  std::string request = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+  for (int i = 0; i < 2000; ++i) request += "Trailer: value\r\n";
+  EXPECT_TRUE(RawExchange(m_server->address(), request).starts_with("HTTP/1.1 431"));
+  EXPECT_EQ(m_server->LimitMetrics()["refused_headers"], 1);
+}
+
+// Guards against trailers within the limit that are refused.
+TEST_F(HttpTest, TrailersWithinTheHeaderLimitAreAccepted) {
+  Listen(Echo);
+  const std::string request =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n1\r\nx\r\n0\r\nTrailer: value\r\n\r\n";
+  const std::string response = RawExchange(m_server->address(), request);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+  EXPECT_TRUE(response.ends_with("\r\n\r\nx")) << response;
+}
+
+// Guards against a refusal that does not say that the request was not run, or not when to retry.
+TEST_F(HttpTest, RequestThatHoldsMemoryLongestIsRefusedAsNotRun) {
+  HttpServerOptions options;
+  options.max_body_bytes = 1'000'000;
+  options.max_held_bytes = 1;  // raised to what one request needs
+  Listen(Echo, options);
+  const std::string unfinished = "POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n" + std::string(900'000, 'x');
+  boost::asio::io_context context;
+  std::vector<Tcp::socket> sockets;
+  const std::size_t clients = options.EffectiveMaxHeldBytes() / options.max_body_bytes + 2;
+  for (std::size_t i = 0; i < clients; ++i) {
+    sockets.emplace_back(context).connect(*ParseEndpoint(m_server->address()));
+    boost::asio::write(sockets.back(), boost::asio::buffer(unfinished));
+  }
+  std::string refusal;
+  boost::system::error_code ec;
+  boost::asio::read(sockets.front(), boost::asio::dynamic_buffer(refusal), ec);
+  EXPECT_TRUE(refusal.starts_with("HTTP/1.1 503")) << refusal;
+  EXPECT_NE(refusal.find("Jaymast-Verdict: not_run"), std::string::npos);
+  EXPECT_NE(refusal.find("Retry-After: 1"), std::string::npos);
+  BlockingHttpClient client;
+  EXPECT_EQ(client.Call(m_server->address(), Post("/", "x"), kTestTimeout).response.status, 200);
+  EXPECT_LE(m_server->LimitMetrics()["held_bytes"], static_cast<double>(options.EffectiveMaxHeldBytes()));
+}
+
+// Guards against clients that open all connections, send nothing, and so keep others from being served.
+TEST_F(HttpTest, ConnectionThatWaitsLongestMakesRoomForAnother) {
+  HttpServerOptions options;
+  options.max_connections = 4;
+  Listen(Echo, options);
+  boost::asio::io_context context;
+  std::vector<Tcp::socket> idle;
+  for (int i = 0; i < 4; ++i) idle.emplace_back(context).connect(*ParseEndpoint(m_server->address()));
+  BlockingHttpClient client;
+  EXPECT_EQ(client.Call(m_server->address(), Post("/", "x"), kTestTimeout).response.status, 200);
+  EXPECT_EQ(m_server->LimitMetrics()["evicted_connections"], 1);
+}
+
+// Guards against queued responses without a limit: clients that do not read theirs lose their connection.
+TEST_F(HttpTest, ClientsThatDoNotReadAreClosedWhenTheBudgetIsUsedUp) {
+  HttpServerOptions options;
+  options.max_body_bytes = 1000;
+  options.max_held_bytes = 20'000'000;
+  Listen(
+      [](const HttpRequest&, const HttpResponder& responder) {
+        responder.Respond(HttpResponse{200, {}, std::string(8'000'000, 'x')});
+      },
+      options);
+  boost::asio::io_context context;
+  std::vector<Tcp::socket> slow;
+  for (int i = 0; i < 8; ++i) {
+    slow.emplace_back(context).connect(*ParseEndpoint(m_server->address()));
+    boost::asio::write(slow.back(), boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  }
+  std::string received;
+  boost::system::error_code ec;
+  boost::asio::read(slow.front(), boost::asio::dynamic_buffer(received), ec);
+  EXPECT_LT(received.size(), 8'000'000U);
+  EXPECT_LE(m_server->LimitMetrics()["held_bytes"], static_cast<double>(options.max_held_bytes));
+}
+
+// Guards against a server whose reply makes its client hold trailers or header fields without a limit.
+TEST_F(HttpTest, ReplyWithEndlessTrailersIsGivenUp) {
+  boost::asio::io_context context;
+  Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  const std::string address = FormatEndpoint(acceptor.local_endpoint());
+  std::future<bool> is_closed = std::async(std::launch::async, [&acceptor] {
+    Tcp::socket socket = acceptor.accept();
+    boost::system::error_code ec;
+    boost::asio::write(
+        socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")), ec);
+    const std::string trailers = std::string(1000, 't') + ": x\r\n";
+    for (int i = 0; i < 20'000 && !ec; ++i) boost::asio::write(socket, boost::asio::buffer(trailers), ec);
+    return static_cast<bool>(ec);
+  });
+  BlockingHttpClient client;
+  EXPECT_EQ(client.Call(address, Post("/", "x"), kTestTimeout).status, SendStatus::kUnknown);
+  EXPECT_TRUE(is_closed.get());
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/runtime/entry_process.cc
+++ b/src/runtime/entry_process.cc
@@ -189,6 +189,10 @@
   samples.gauges["jaymast_event_queue_lines"] = static_cast<double>(parts.events.queued());
   samples.counters["jaymast_control_busy_seconds_total"] =
       std::chrono::duration<double>(parts.control.busy_time()).count();
+  for (const auto& [name, value] : parts.server->LimitMetrics()) samples.gauges["jaymast_http_" + name] = value;
+  samples.gauges["jaymast_upstream_reply_held_bytes"] = static_cast<double>(parts.upstream_client.held_bytes());
+  samples.counters["jaymast_upstream_replies_evicted_total"] =
+      static_cast<double>(parts.upstream_client.evicted_responses());
   samples.counters["jaymast_http_connections_refused_total"] = static_cast<double>(parts.server->refused_connections());
   samples.counters["jaymast_events_dropped_total"] = static_cast<double>(parts.events.dropped());
   samples.counters["jaymast_peer_frames_sent_total"] = static_cast<double>(links.sent);
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -14,6 +14,7 @@
 constexpr milliseconds kMaxInterval{3'600'000};
 constexpr std::int64_t kMaxCount = 10'000'000;
 constexpr std::int64_t kMaxBytes = 1LL << 30U;
+constexpr std::int64_t kMaxHeldBytes = 1LL << 40U;
 constexpr std::int64_t kMaxThreads = 64;
 constexpr std::int64_t kMaxDescriptor = 65'535;
 constexpr std::int64_t kMaxLogLevel = 3;
@@ -59,6 +60,7 @@
   http.address = RequiredAddress(reader, "address");
   ReadSize(reader, "max_body_bytes", http.max_body_bytes, kMaxBytes);
   ReadSize(reader, "max_header_bytes", http.max_header_bytes, kMaxBytes);
+  http.max_held_bytes = static_cast<std::size_t>(reader.Int("max_held_bytes", 0, 0, kMaxHeldBytes));
   ReadSize(reader, "max_connections", http.max_connections, kMaxCount);
   ReadInterval(reader, "idle_timeout_ms", http.idle_timeout);
   ReadInterval(reader, "header_timeout_ms", http.header_timeout);
@@ -94,6 +96,7 @@
   ReadSize(reader, "max_connections", upstream.max_connections_per_host, kMaxCount);
   ReadSize(reader, "max_queued", upstream.max_queued_per_host, kMaxCount);
   ReadSize(reader, "max_response_bytes", upstream.max_response_bytes, kMaxBytes);
+  ReadSize(reader, "max_held_bytes", upstream.max_held_bytes, kMaxHeldBytes);
   ReadInterval(reader, "idle_timeout_ms", upstream.idle_timeout);
 }
 
