Wait for evicted connections to close before the next one is accepted

Cause: the server counts evicted connections until they are closed. In a burst of connections more were accepted than closed in that time, the hard limit was reached, and an ordinary caller at the end of the burst got 503.

Change: while the server is over its limit, the next connection stays in the backlog, for at most 50 ms.

The counter evicted_transfers is new.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -17,6 +17,9 @@
 using boost::beast::tcp_stream;
 
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+/// An evicted connection is closed within about a millisecond. The wait is bounded in case its client delays that.
+constexpr std::chrono::milliseconds kRoomPollInterval{1};
+constexpr int kMaxRoomPolls = 50;
 /// A few hundred requests of the usual 4,000 bytes fit, with their copies, however small max_body_bytes is.
 constexpr std::size_t kMinDefaultHeldBytes = 8U << 20U;
 constexpr std::size_t kDefaultHeldBodies = 32;
@@ -57,11 +60,27 @@
       if (!ec) self->Serve(std::move(socket));
       if (self->m_shared->is_shutting_down) return self->Drain();
       if (ec) return self->RetryAccept();
-      self->Accept();
+      self->AcceptWhenThereIsRoom();
     });
   }
 
  private:
+  /// Accepts the next connection once evicted ones are closed. Otherwise a burst of connections would find the server
+  /// full, and the ones that arrive last would be refused.
+  void AcceptWhenThereIsRoom() {
+    const bool waits = m_shared->IsOverLimit() && m_room_polls < kMaxRoomPolls;
+    if (!waits) {
+      m_room_polls = 0;
+      return Accept();
+    }
+    ++m_room_polls;
+    m_retry_timer.expires_after(kRoomPollInterval);
+    m_retry_timer.async_wait([self = shared_from_this()](boost::system::error_code) {
+      if (self->m_shared->is_shutting_down) return self->Drain();
+      self->AcceptWhenThereIsRoom();
+    });
+  }
+
   /// Retries after a delay, because accept fails immediately while the process is out of file descriptors.
   void RetryAccept() {
     m_retry_timer.expires_after(kAcceptRetryDelay);
@@ -109,6 +128,7 @@
   const std::shared_ptr<HttpServerState> m_shared;
   boost::asio::steady_timer m_retry_timer;
   std::size_t m_next = 0;
+  int m_room_polls = 0;  ///< since the last accepted connection
 };
 
 }  // namespace
@@ -168,6 +188,7 @@
 std::map<std::string, double> HttpServer::LimitMetrics() const {
   return {{"held_bytes", static_cast<double>(m_shared->budget.held_bytes())},
           {"open_connections", static_cast<double>(open_connections())},
+          {"evicted_transfers", static_cast<double>(m_shared->budget.evicted())},
           {"refused_connections", static_cast<double>(m_shared->refused)},
           {"evicted_connections", static_cast<double>(m_shared->evicted_connections)},
           {"refused_bodies", static_cast<double>(m_shared->refused_for_body)},
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -79,6 +79,12 @@
     return true;
   }
 
+  /// Whether evicted connections are still open.
+  bool IsOverLimit() {
+    const std::lock_guard lock(mutex);
+    return connections.size() > options.max_connections;
+  }
+
   void Remove(HttpConnection* connection) {
     const std::lock_guard lock(mutex);
     StopWaiting(connection);
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -8,6 +8,7 @@
 #include <future>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "net/blocking_http_client.h"
@@ -323,24 +324,28 @@
 
 // Guards against queued responses without a limit: clients that do not read theirs lose their connection.
 TEST_F(HttpTest, ClientsThatDoNotReadAreClosedWhenTheBudgetIsUsedUp) {
+  // Larger than what the sockets of both sides buffer.
+  constexpr std::size_t kResponseBytes = 32'000'000;
   HttpServerOptions options;
   options.max_body_bytes = 1000;
-  options.max_held_bytes = 20'000'000;
+  options.max_held_bytes = 2 * kResponseBytes + 1'000'000;
+  options.write_timeout = 10 * kTestTimeout;
   Listen(
       [](const HttpRequest&, const HttpResponder& responder) {
-        responder.Respond(HttpResponse{200, {}, std::string(8'000'000, 'x')});
+        responder.Respond(HttpResponse{200, {}, std::string(kResponseBytes, 'x')});
       },
       options);
   boost::asio::io_context context;
   std::vector<Tcp::socket> slow;
-  for (int i = 0; i < 8; ++i) {
+  for (int i = 0; i < 6; ++i) {
     slow.emplace_back(context).connect(*ParseEndpoint(m_server->address()));
     boost::asio::write(slow.back(), boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
   }
-  std::string received;
-  boost::system::error_code ec;
-  boost::asio::read(slow.front(), boost::asio::dynamic_buffer(received), ec);
-  EXPECT_LT(received.size(), 8'000'000U);
+  const auto deadline = std::chrono::steady_clock::now() + kTestTimeout;
+  while (m_server->LimitMetrics()["evicted_transfers"] < 4 && std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  EXPECT_EQ(m_server->LimitMetrics()["evicted_transfers"], 4);
   EXPECT_LE(m_server->LimitMetrics()["held_bytes"], static_cast<double>(options.max_held_bytes));
 }
 
