Add a process test with unfinished frames to the peer address, which fails

Cause: a link between entries accepts frames of up to peer.max_frame_bytes (32 MiB) before its sender has named itself, and there may be 1,024 links.

Clients and bounds, fixed with this commit: 40 clients that each announce a frame of 3,900,000 bytes to the peer address of jaymast-entry, stop just short of its end and stay open; bounds 65,536 KB resident and 128 descriptors.

--- a/src/runtime/client_limits_process_test.cc
+++ b/src/runtime/client_limits_process_test.cc
@@ -6,6 +6,8 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "net/blocking_http_client.h"
 #include "testing/child_process.h"
@@ -51,6 +53,7 @@
   }
 
   std::string address() const { return m_ip + ":7311"; }
+  std::string peer_address() const { return m_ip + ":7312"; }
 
   /// Body of the response to a task of 200,000 bytes over a new connection; empty without a response.
   std::string OrdinaryResponse() const {
@@ -62,10 +65,14 @@
 
   /// Lets a crowd send, and checks the process while the connections of the crowd are open.
   void ExpectEntryWithstands(std::size_t clients, ClientScript script) {
+    ExpectEntryWithstands(address(), clients, std::move(script));
+  }
+
+  void ExpectEntryWithstands(const std::string& target, std::size_t clients, ClientScript script) {
     // The decision of an entry without its table service, which no other part of the process makes.
     constexpr const char* kDecision = "jaymast.entry.not-serving";
     ASSERT_NE(OrdinaryResponse().find(kDecision), std::string::npos) << OrdinaryResponse();
-    ClientCrowd crowd(address(), clients, std::move(script));
+    ClientCrowd crowd(target, clients, std::move(script));
     crowd.Send(kSendTimeout);
     const std::string response = OrdinaryResponse();
     EXPECT_NE(response.find(kDecision), std::string::npos) << response;
@@ -107,6 +114,11 @@
   ExpectEntryWithstands(60, EndlessChunks(kTarget, "10", kMaxBodyBytes - 16'384));
 }
 
+// Guards against senders that are no entries and make the process hold frames up to the limit of entries.
+TEST_F(EntryClientLimitsTest, UnfinishedFramesToThePeerAddress) {
+  ExpectEntryWithstands(peer_address(), 40, UnfinishedFrame(3'900'000));
+}
+
 // Guards against clients with unfinished requests that keep all connections from others.
 TEST_F(EntryClientLimitsTest, UnfinishedHeadersOnAllConnections) {
   ExpectEntryWithstands(100, UnfinishedHeader(kTarget));
--- a/src/testing/client_scripts.h
+++ b/src/testing/client_scripts.h
@@ -45,6 +45,16 @@
   return {RequestHead(target, "Transfer-Encoding: chunked"), unit, bytes / body_bytes};
 }
 
+/// Sends the length of a frame between entries and the frame without its last bytes.
+inline ClientScript UnfinishedFrame(std::size_t frame_bytes) {
+  constexpr std::size_t kLengthBytes = 4;
+  constexpr std::size_t kUnitBytes = 8192;
+  constexpr unsigned kBitsPerByte = 8;
+  std::string head;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) head += static_cast<char>(frame_bytes >> (kBitsPerByte * i) & 0xFFU);
+  return {head, std::string(kUnitBytes, 'x'), frame_bytes / kUnitBytes - 1};
+}
+
 /// Sends a part of the header and stops.
 inline ClientScript UnfinishedHeader(const std::string& target) {
   return {"POST " + target + " HTTP/1.1\r\nHost: cell", "", 0};
