Choose the leader by link bandwidth and processor share

Cause: the election considered only the processor share. On a site where most links carry 10 Mbit/s, an instance with such a link led while fit ones were alive.

Change: LeaderFitness puts instances into three classes: fit (0.2 cores and 50 Mbit/s or more), short of link bandwidth, short of processor. An instance campaigns 400 ms later for each class between it and the fittest follower, which the heartbeats report. A leader yields to a follower of a higher class, and a handover names the fittest follower that has answered within 0.5 s. A named successor that did not take over is not named again for 10 s.

With the class delay and the rule for yielding removed, LeaderIsOfTheFittestClassAlive and LeaderYieldsToInstanceOfHigherClass fail. SuccessorWithoutStoreCostsOneHandover fails without the rule for passed-over successors, with 4 handovers in 9 s instead of 1. FitInstanceLeadsAfterRestartOfAll and EqualInstancesDoNotWaitForFitterOnes pass without the change too; they guard against regressions.

--- a/src/cell/leader_election.cc
+++ b/src/cell/leader_election.cc
@@ -11,19 +11,20 @@
 /// Instances of rank 0 to 7 start their attempts this much apart, so that most need not write.
 constexpr Duration kRankDelay{15'000};
 constexpr std::uint64_t kRanks = 8;
-/// Further delay of low-priority instances.
-constexpr Duration kLowPriorityDelay{400'000};
+/// Further delay for each class below the fittest one. Longer than the spread of the attempts of one class, which is a
+/// read interval and the largest rank delay together.
+constexpr Duration kClassDelay{400'000};
 /// Time after a handover in which only the named successor takes over.
 constexpr Duration kSuccessorHeadStart{250'000};
 
 }  // namespace
 
-LeaderElection::LeaderElection(StateStore& store, std::string address, std::uint64_t rank, bool is_low_priority,
+LeaderElection::LeaderElection(StateStore& store, std::string address, std::uint64_t rank, LeaderClass leader_class,
                                ElectedCallback on_elected)
     : m_store(store),
       m_address(std::move(address)),
-      m_delay(kRankDelay * static_cast<std::int64_t>(rank % kRanks) +
-              (is_low_priority ? kLowPriorityDelay : Duration::zero())),
+      m_rank_delay(kRankDelay * static_cast<std::int64_t>(rank % kRanks)),
+      m_class(leader_class),
       m_on_elected(std::move(on_elected)) {}
 
 void LeaderElection::OnTick(Time now) {
@@ -95,18 +96,26 @@
   }
   if (m_is_retired) return;
   const bool is_vacant = m_leader.address.empty();
-  if (is_vacant && (version == 0 || m_leader.successor == m_address)) return Campaign();
+  if (is_vacant && version != 0 && m_leader.successor == m_address) return Campaign();
+  const Duration unchanged = sent_at - m_version_seen_at;
+  const Duration class_delay = ClassDelay();
+  if (is_vacant && version == 0 && (class_delay == Duration::zero() || unchanged >= class_delay)) return Campaign();
   // A row with the address of this instance was left by an earlier process at the same address.
-  const bool is_high_priority = m_delay < kLowPriorityDelay;
-  if (m_leader.address == m_address && is_high_priority) return Campaign();
+  if (m_leader.address == m_address && class_delay == Duration::zero()) return Campaign();
   const Duration needed =
       is_vacant ? kSuccessorHeadStart : (m_is_connection_refused ? kRefusedElectionTimeout : kElectionTimeout);
-  const Duration timeout = needed + m_delay;
-  if (sent_at - m_version_seen_at >= timeout) Campaign();
+  if (unchanged >= needed + m_rank_delay + class_delay) Campaign();
+}
+
+Duration LeaderElection::ClassDelay() const {
+  const int classes_above = static_cast<int>(m_fittest_class) - static_cast<int>(m_class);
+  return kClassDelay * std::max(0, classes_above);
 }
 
 void LeaderElection::Campaign() {
   m_is_campaigning = true;
+  const bool is_other_named = m_leader.address.empty() && m_leader.successor != m_address;
+  m_passed_over_successor = is_other_named ? m_leader.successor : "";
   LeaderRecord record;
   record.epoch = m_leader.epoch + 1;
   record.address = m_address;
--- a/src/cell/leader_election.h
+++ b/src/cell/leader_election.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "cell/leader_fitness.h"
 #include "cell/leader_record.h"
 #include "cell/state_store.h"
 
@@ -23,8 +24,8 @@
 
   /// @param address peer address of this instance
   /// @param rank staggers the attempts of the instances
-  /// @param is_low_priority whether the instance leads only if no high-priority one does
-  LeaderElection(StateStore& store, std::string address, std::uint64_t rank, bool is_low_priority,
+  /// @param leader_class instances of a lower class than the fittest one wait longer before they campaign
+  LeaderElection(StateStore& store, std::string address, std::uint64_t rank, LeaderClass leader_class,
                  ElectedCallback on_elected);
 
   void OnTick(Time now);
@@ -36,6 +37,9 @@
   /// The address of the leader refuses connections, so a shorter timeout is enough.
   void OnLeaderConnectionRefused(Time now);
 
+  /// Class of the fittest instance that can take over, as reported by the leader. Until a report, a fit one is assumed.
+  void SetFittestClass(LeaderClass fittest) { m_fittest_class = fittest; }
+
   /// Reads the row at the next tick; for use when a handover was reported.
   void RequestRead();
 
@@ -48,6 +52,8 @@
   /// Last known address of the leader, empty if unknown or after a handover.
   const std::string& leader_address() const { return m_leader.address; }
   std::uint64_t leader_epoch() const { return m_leader.epoch; }
+  /// Named successor in whose place this instance has campaigned last, or empty.
+  const std::string& passed_over_successor() const { return m_passed_over_successor; }
 
   /// The row must be unchanged for this time; three times the idle commit interval of the leader.
   static constexpr Duration kElectionTimeout{750'000};
@@ -60,16 +66,21 @@
   void Read(Time now);
   void OnRow(Time sent_at, const StateScanReply& reply);
   void Campaign();
+  /// Time that instances of a higher class have to campaign before this one.
+  Duration ClassDelay() const;
 
   StateStore& m_store;
   const std::string m_address;
-  const Duration m_delay;  ///< added to the election timeout
+  const Duration m_rank_delay;  ///< added to the election timeout
+  const LeaderClass m_class;
+  LeaderClass m_fittest_class = LeaderClass::kFit;
   const ElectedCallback m_on_elected;
   bool m_is_leader = false;
   bool m_is_retired = false;
   bool m_is_reading = false;
   bool m_is_campaigning = false;
   LeaderRecord m_leader;
+  std::string m_passed_over_successor;
   std::optional<std::int64_t> m_version;  ///< of the row as last read; 0 when absent
   Time m_version_seen_at{};               ///< when the row was first read with this version
   Time m_progress_at{};
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -91,6 +91,7 @@
 
   struct Instance {
     std::string address;
+    LeaderFitness fitness{.cpu_millis = 250};
     std::unique_ptr<FakeStoreClient> store;
     std::unique_ptr<CellInstance> cell;
     std::unique_ptr<UpstreamClient> upstreams;
@@ -126,6 +127,13 @@
 
   void Restart(int index) { StartInstance(At(index)); }
 
+  /// Restarts the instance with these resources.
+  void SetFitness(int index, LeaderFitness fitness) {
+    Kill(index);
+    At(index).fitness = fitness;
+    Restart(index);
+  }
+
   /// Index of the leader that has loaded its jobs, or -1 if there is none.
   int Leader() const {
     for (std::size_t i = 0; i < instances.size(); ++i) {
@@ -341,7 +349,8 @@
                               [] {},
                               options};
     const std::uint64_t rank = static_cast<std::uint64_t>(instance.address.back() - '0');
-    instance.cell = std::make_unique<CellInstance>(std::move(ports), instance.address, 250, rank, queue.now());
+    instance.cell =
+        std::make_unique<CellInstance>(std::move(ports), instance.address, instance.fitness, rank, queue.now());
     Tick(instance, instance.process_incarnation);
   }
 
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 #include "base/http_status.h"
@@ -39,11 +40,11 @@
 constexpr Duration kEndedTermRetention{12'000'000};
 /// Time allowed beyond the timeout of a policy call made by another instance.
 constexpr std::int64_t kPolicyMarginMs = 200;
-/// An instance with a smaller CPU share leads only if no larger one does: a leader uses 0.2 cores at 350 upstreams.
-constexpr std::int64_t kPreferredLeaderCpuMillis = 200;
-/// A leader yields to a follower with this many times its CPU share, but not right after a takeover.
-constexpr std::int64_t kYieldCpuFactor = 2;
+/// A leader does not yield right after a takeover: until then it does not know all followers.
 constexpr Duration kMinTermBeforeYield{1'500'000};
+/// A follower that did not take over when named as the successor may not reach the store. The leader after it does not
+/// name it for this time, as each vain handover costs half a second without a leader.
+constexpr Duration kPassedOverTime{10'000'000};
 constexpr const char* kHeartbeatPath = "/peer/beat";
 constexpr const char* kJoinAnnouncementPath = "/peer/hello";
 constexpr const char* kPolicyCallPath = "/peer/advise";
@@ -73,10 +74,10 @@
   CellInstance& m_instance;
 };
 
-CellInstance::CellInstance(Ports ports, std::string address, std::int64_t cpu_millis, std::uint64_t rank, Time now)
+CellInstance::CellInstance(Ports ports, std::string address, LeaderFitness fitness, std::uint64_t rank, Time now)
     : m_ports(std::move(ports)),
       m_address(std::move(address)),
-      m_cpu_millis(cpu_millis),
+      m_fitness(fitness),
       m_now(now),
       m_started_at(now),
       m_relay(
@@ -89,7 +90,7 @@
                                                   {"may_have_run", may_have_run ? "true" : "false"}});
              return m_ports.codec.EncodeFailure(may_have_run);
            }}),
-      m_election(m_ports.store, m_address, rank, cpu_millis < kPreferredLeaderCpuMillis,
+      m_election(m_ports.store, m_address, rank, fitness.GetClass(),
                  [this](const LeaderRecord& record, std::int64_t version) { BeginTerm(record, version); }),
       m_policy_router(std::make_unique<PolicyRouter>(*this)),
       m_leader_unreachable_at(Time{} + kLeaderContactTimeout) {}
@@ -107,7 +108,7 @@
   if (m_is_deposed) EndTerm("another instance took over");
   if (m_term != nullptr) {
     if (now >= m_next_heartbeat_at) SendHeartbeats();
-    YieldToLargerInstance();
+    YieldToFitterInstance();
     m_relay.SetLeader(true, "", m_term->committer().epoch(), now);
     // Preserves the time left until the leader counts as unreachable, for the leader after this term.
     m_leader_unreachable_at += now - m_leader_contact_at;
@@ -127,6 +128,8 @@
   m_is_deposed = false;
   m_term_began_at = m_now;
   m_successor.clear();
+  m_passed_over = m_election.passed_over_successor();
+  m_passed_over_until = m_now + kPassedOverTime;
   m_followers.clear();
   m_term = std::make_unique<CellTerm>(
       m_ports.store, Scheduler::Ports{m_ports.upstreams, *m_policy_router, m_ports.events, m_ports.options}, record,
@@ -212,7 +215,7 @@
     const std::optional<JoinAnnouncement> follower = DecodeJoinAnnouncement(request.body);
     if (m_term == nullptr || !follower) return done({kStatusConflict, {}, ""});
     Follower& entry = m_followers[follower->address];
-    entry.cpu_millis = follower->cpu_millis;
+    entry.fitness = follower->fitness;
     if (entry.joined_at == Time{}) entry.joined_at = m_now;
     entry.last_contact_at = m_now;
     UpdatePolicyCallers();
@@ -288,7 +291,9 @@
 }
 
 void CellInstance::ForwardHeartbeat(const Heartbeat& heartbeat) {
-  const HttpRequest message = PeerMessage(kHeartbeatPath, EncodeHeartbeat({heartbeat.record, heartbeat.version, {}}));
+  Heartbeat forwarded = heartbeat;
+  forwarded.forward_to.clear();
+  const HttpRequest message = PeerMessage(kHeartbeatPath, EncodeHeartbeat(forwarded));
   for (const std::string& address : heartbeat.forward_to) {
     if (!m_forwarding_to.insert(address).second) continue;
     m_ports.send_peer(address, message, m_now + kHeartbeatTimeout, [this, address](const PeerResult& result) {
@@ -301,7 +306,7 @@
 void CellInstance::SendJoinAnnouncement() {
   m_next_join_at = m_now + kJoinInterval;
   m_ports.send_peer(m_election.leader_address(),
-                    PeerMessage(kJoinAnnouncementPath, EncodeJoinAnnouncement({m_address, m_cpu_millis})),
+                    PeerMessage(kJoinAnnouncementPath, EncodeJoinAnnouncement({m_address, m_fitness})),
                     m_now + kHeartbeatTimeout, [this](const PeerResult& result) {
                       if (!result.was_sent) m_election.OnLeaderConnectionRefused(m_now);
                       if (!result.is_answered || result.response.status != kStatusOk) return;
@@ -312,7 +317,14 @@
 }
 
 Heartbeat CellInstance::BuildHeartbeat() const {
-  return {m_term->committer().committed_record(), m_term->committer().committed_version(), {}};
+  Heartbeat heartbeat{m_term->committer().committed_record(), m_term->committer().committed_version(), {}};
+  // Right after a takeover most followers are not known yet, and a fit one may be among them.
+  if (m_now - m_term_began_at < kMinTermBeforeYield || m_followers.empty()) return heartbeat;
+  heartbeat.fittest_class = LeaderClass::kShortOfProcessor;
+  for (const auto& [address, follower] : m_followers) {
+    heartbeat.fittest_class = std::max(heartbeat.fittest_class, follower.fitness.GetClass());
+  }
+  return heartbeat;
 }
 
 void CellInstance::OnHeartbeat(const Heartbeat& heartbeat) {
@@ -320,6 +332,7 @@
   const Duration gap = std::min(m_now - m_leader_contact_at, kMaxHeartbeatGap);
   m_leader_unreachable_at = m_now + std::max(kLeaderContactTimeout, gap * kMissedHeartbeats);
   m_leader_contact_at = m_now;
+  m_election.SetFittestClass(heartbeat.fittest_class);
   if (heartbeat.version != m_leader_version) m_leader_version_changed_at = m_now;
   m_leader_version = heartbeat.version;
   m_election.OnLeaderProgress(heartbeat.record, heartbeat.version, m_now);
@@ -346,9 +359,11 @@
 std::string CellInstance::ChooseSuccessor() const {
   // In a rolling restart, the follower that joined last is the least likely to restart next.
   std::string best;
-  std::pair<std::int64_t, Time> best_key{};
+  std::tuple<LeaderClass, std::int64_t, Time> best_key{};
   for (const auto& [address, follower] : m_followers) {
-    const std::pair<std::int64_t, Time> key{follower.cpu_millis, follower.joined_at};
+    if (m_now - follower.last_contact_at > kHeartbeatTimeout) continue;
+    if (address == m_passed_over && m_now < m_passed_over_until) continue;
+    const std::tuple key{follower.fitness.GetClass(), follower.fitness.cpu_millis, follower.joined_at};
     if (!best.empty() && key < best_key) continue;
     best_key = key;
     best = address;
@@ -356,10 +371,12 @@
   return best;
 }
 
-void CellInstance::YieldToLargerInstance() {
+void CellInstance::YieldToFitterInstance() {
   if (!m_successor.empty() || m_is_stopping || m_now - m_term_began_at < kMinTermBeforeYield) return;
   const std::string successor = ChooseSuccessor();
-  if (successor.empty() || m_followers[successor].cpu_millis < kYieldCpuFactor * m_cpu_millis) return;
+  if (successor.empty() || !m_fitness.YieldsTo(m_followers[successor].fitness)) return;
+  m_ports.events.Emit("term.yielded",
+                      {{"epoch", std::to_string(m_term->committer().epoch())}, {"successor", successor}});
   m_successor = successor;
   m_term->HandOver(successor);
 }
@@ -378,6 +395,7 @@
       {"jaymast_ready", is_ready() ? 1 : 0},
       {"jaymast_epoch", static_cast<double>(m_election.leader_epoch())},
       {"jaymast_open_calls", static_cast<double>(m_relay.open_calls())},
+      {"jaymast_leader_class", static_cast<double>(m_fitness.GetClass())},
   };
   if (m_term == nullptr) {
     if (m_leader_contact_at != Time{}) gauges["jaymast_leader_silence_seconds"] = seconds_since(m_leader_contact_at);
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "cell/cell_event_sink.h"
 #include "cell/leader_election.h"
+#include "cell/leader_fitness.h"
 #include "cell/policy_client.h"
 #include "cell/state_store.h"
 #include "instance/cell_term.h"
@@ -60,9 +61,9 @@
   };
 
   /// @param address peer address of this instance
-  /// @param cpu_millis CPU share of this instance in thousandths of a core
+  /// @param fitness resources of this instance that decide whether it should lead
   /// @param rank staggers the takeover attempts of the instances
-  CellInstance(Ports ports, std::string address, std::int64_t cpu_millis, std::uint64_t rank, Time now);
+  CellInstance(Ports ports, std::string address, LeaderFitness fitness, std::uint64_t rank, Time now);
   ~CellInstance();
 
   void OnTick(Time now, std::int64_t unix_now_ms);
@@ -86,7 +87,7 @@
   class PolicyRouter;
   struct Follower {
     Time last_contact_at{};
-    std::int64_t cpu_millis = 0;
+    LeaderFitness fitness;
     Time joined_at{};  ///< first join announcement to this leader
     bool is_heartbeat_pending = false;
   };
@@ -105,14 +106,15 @@
   void OnFollowerContact(const std::string& address);
   void SendJoinAnnouncement();
   void UpdatePolicyCallers();
-  void YieldToLargerInstance();
+  void YieldToFitterInstance();
+  /// Address of the fittest follower that is reachable, or empty.
   std::string ChooseSuccessor() const;
   void RequestTickets(const std::string& caller, const PolicyRequest& policy_request,
                       std::function<void(PolicyReply)> done);
 
   Ports m_ports;
   const std::string m_address;
-  const std::int64_t m_cpu_millis;
+  const LeaderFitness m_fitness;
   Time m_now;
   std::int64_t m_unix_now_ms = 0;
   const Time m_started_at;
@@ -134,6 +136,8 @@
   std::int64_t m_leader_version = 0;
   bool m_is_stopping = false;
   std::string m_successor;
+  std::string m_passed_over;  ///< did not take over although named as the successor; not named again for some time
+  Time m_passed_over_until{};
   std::uint64_t m_call_count = 0;
 };
 
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -15,11 +15,15 @@
 
 constexpr std::size_t kMaxTextBytes = 4096;
 constexpr std::int64_t kMaxInt = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t kMaxClass = static_cast<std::int64_t>(LeaderClass::kFit);
 
 }  // namespace
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
   json::object out{{"record", EncodeLeaderRecord(heartbeat.record)}, {"version", heartbeat.version}};
+  if (heartbeat.fittest_class != LeaderClass::kFit) {
+    out["fittest_class"] = static_cast<std::int64_t>(heartbeat.fittest_class);
+  }
   if (!heartbeat.forward_to.empty()) {
     out["forward_to"] = json::array(heartbeat.forward_to.begin(), heartbeat.forward_to.end());
   }
@@ -33,6 +37,7 @@
   const std::optional<LeaderRecord> record = DecodeLeaderRecord(reader.RequiredString("record", kMaxTextBytes));
   const std::int64_t version = reader.Int("version", 0, 0, kMaxInt);
   Heartbeat heartbeat{record.value_or(LeaderRecord{}), version, {}};
+  heartbeat.fittest_class = static_cast<LeaderClass>(reader.Int("fittest_class", kMaxClass, 0, kMaxClass));
   if (const json::array* addresses = reader.Array("forward_to")) {
     for (const json::value& address : *addresses) {
       if (!address.is_string()) return std::nullopt;
@@ -62,7 +67,9 @@
 }
 
 std::string EncodeJoinAnnouncement(const JoinAnnouncement& announcement) {
-  return json::serialize(json::object{{"address", announcement.address}, {"cpu_millis", announcement.cpu_millis}});
+  json::object out{{"address", announcement.address}, {"cpu_millis", announcement.fitness.cpu_millis}};
+  if (announcement.fitness.link_mbps > 0) out["link_mbps"] = announcement.fitness.link_mbps;
+  return json::serialize(out);
 }
 
 std::optional<JoinAnnouncement> DecodeJoinAnnouncement(std::string_view text) {
@@ -71,7 +78,8 @@
   FieldReader reader(*object, "hello");
   JoinAnnouncement announcement;
   announcement.address = reader.RequiredString("address", kMaxTextBytes);
-  announcement.cpu_millis = reader.Int("cpu_millis", 0, 0, kMaxInt);
+  announcement.fitness.cpu_millis = reader.Int("cpu_millis", 0, 0, kMaxInt);
+  announcement.fitness.link_mbps = reader.Int("link_mbps", 0, 0, kMaxInt);
   if (reader.error()) return std::nullopt;
   return announcement;
 }
--- a/src/instance/peer_codec.h
+++ b/src/instance/peer_codec.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cell/leader_fitness.h"
 #include "cell/leader_record.h"
 #include "cell/policy_client.h"
 
@@ -17,6 +18,8 @@
   LeaderRecord record;                  ///< the address is empty if the leader has handed over
   std::int64_t version = 0;             ///< of the leader row
   std::vector<std::string> forward_to;  ///< followers to which the receiver forwards the heartbeat
+  /// Class of the fittest follower, whose attempt to take over the less fit ones await.
+  LeaderClass fittest_class = LeaderClass::kFit;
 };
 
 /// Reply to a heartbeat: the followers that have answered a forwarded one since the last reply.
@@ -28,8 +31,8 @@
 
 /// Registers a follower with the leader.
 struct JoinAnnouncement {
-  std::string address;          ///< peer address
-  std::int64_t cpu_millis = 0;  ///< CPU share of the instance in thousandths of a core
+  std::string address;  ///< peer address
+  LeaderFitness fitness;
 };
 
 std::string EncodeJoinAnnouncement(const JoinAnnouncement& announcement);
