Hold calls while the leader is not ready, and refuse them early

Cause: followers sent calls to a leader that was still reading its records until the caller's time was over. A call whose last attempt waited for a connection until the call's deadline was answered with 504 although it was never sent.

Change: heartbeats say whether the term is ready, and one is sent when it becomes so. The relay holds calls for a leader that is not ready and refuses them as not run after 1.3 s without a ready leader. Followers announce themselves at once to a leader of a new epoch. An attempt ends up to 40 ms before its call.

Result: instance_tests (171), cell_tests and platform_tests (36) pass. Without the change, CallsAreRefusedEarlyWhileTheLeaderIsNotReady and RelayTest.CallThatWasNeverSentIsNotRun fail. HeldCallsAreSentWhenTheLeaderIsReady passes without it too.

--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -89,7 +89,8 @@
                                                   {"waited_ms", std::to_string(ToMillis(waited))},
                                                   {"may_have_run", may_have_run ? "true" : "false"}});
              return m_ports.codec.EncodeFailure(may_have_run);
-           }}),
+           }},
+          now),
       m_election(m_ports.store, m_address, rank, fitness.GetClass(),
                  [this](const LeaderRecord& record, std::int64_t version) { BeginTerm(record, version); }),
       m_policy_router(std::make_unique<PolicyRouter>(*this)),
@@ -107,26 +108,38 @@
   }
   if (m_is_deposed) EndTerm("another instance took over");
   if (m_term != nullptr) {
-    if (now >= m_next_heartbeat_at) SendHeartbeats();
+    // Followers hold their calls until a heartbeat says that the term is ready.
+    const bool became_ready = m_term->is_loaded() && !std::exchange(m_was_term_ready, m_term->is_loaded());
+    if (became_ready || now >= m_next_heartbeat_at) SendHeartbeats();
     YieldToFitterInstance();
-    m_relay.SetLeader(true, "", m_term->committer().epoch(), now);
     // Preserves the time left until the leader counts as unreachable, for the leader after this term.
     m_leader_unreachable_at += now - m_leader_contact_at;
     m_leader_contact_at = now;
   } else {
     const std::string& leader = m_election.leader_address();
     const bool is_known = !leader.empty() && leader != m_address;
-    m_relay.SetLeader(is_known && now < m_leader_unreachable_at, leader, m_election.leader_epoch(), now);
-    if (is_known && now >= m_next_join_at && now - m_leader_contact_at > kJoinInterval) SendJoinAnnouncement();
+    const bool is_new = m_contact_epoch != m_election.leader_epoch();
+    const bool lacks_contact = is_new || now - m_leader_contact_at > kJoinInterval;
+    if (is_known && now >= m_next_join_at && lacks_contact) SendJoinAnnouncement();
   }
+  UpdateRelay();
   m_relay.OnTick(now);
   std::erase_if(m_ended_terms, [now](const auto& entry) { return now - entry.first > kEndedTermRetention; });
 }
 
+void CellInstance::UpdateRelay() {
+  if (m_term != nullptr) return m_relay.SetLeader(m_term->is_loaded(), "", m_term->committer().epoch(), m_now);
+  const std::string& leader = m_election.leader_address();
+  const std::uint64_t epoch = m_election.leader_epoch();
+  const bool is_known = !leader.empty() && leader != m_address && m_now < m_leader_unreachable_at;
+  m_relay.SetLeader(is_known && epoch != m_unready_epoch, leader, epoch, m_now);
+}
+
 void CellInstance::BeginTerm(const LeaderRecord& record, std::int64_t version) {
   m_ports.events.Emit("term.begun", {{"epoch", std::to_string(record.epoch)}});
   m_is_deposed = false;
   m_term_began_at = m_now;
+  m_was_term_ready = false;
   m_successor.clear();
   m_passed_over = m_election.passed_over_successor();
   m_passed_over_until = m_now + kPassedOverTime;
@@ -318,6 +331,7 @@
 
 Heartbeat CellInstance::BuildHeartbeat() const {
   Heartbeat heartbeat{m_term->committer().committed_record(), m_term->committer().committed_version(), {}};
+  heartbeat.is_ready = m_term->is_loaded();
   // Right after a takeover most followers are not known yet, and a fit one may be among them.
   if (m_now - m_term_began_at < kMinTermBeforeYield || m_followers.empty()) return heartbeat;
   heartbeat.fittest_class = LeaderClass::kShortOfProcessor;
@@ -333,6 +347,15 @@
   m_leader_unreachable_at = m_now + std::max(kLeaderContactTimeout, gap * kMissedHeartbeats);
   m_leader_contact_at = m_now;
   m_election.SetFittestClass(heartbeat.fittest_class);
+  const std::uint64_t epoch = heartbeat.record.epoch;
+  if (heartbeat.is_ready) {
+    m_ready_epoch = epoch;
+  } else if (m_ready_epoch != epoch) {
+    // A heartbeat of this epoch that says otherwise and arrives later was sent earlier: a term that is ready stays so.
+    m_unready_epoch = epoch;
+  }
+  if (heartbeat.is_ready && m_unready_epoch == epoch) m_unready_epoch = 0;
+  m_contact_epoch = epoch;
   if (heartbeat.version != m_leader_version) m_leader_version_changed_at = m_now;
   m_leader_version = heartbeat.version;
   m_election.OnLeaderProgress(heartbeat.record, heartbeat.version, m_now);
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -98,6 +98,8 @@
                     const std::function<void(Relay::Attempt)>& done);
   void HandleClientCall(const HttpRequest& request, const std::function<void(HttpResponse, bool is_undecided)>& done);
   Heartbeat BuildHeartbeat() const;
+  /// Lets the relay send calls only to a leader that is reachable and not known to be unable to handle calls.
+  void UpdateRelay();
   void OnHeartbeat(const Heartbeat& heartbeat);
   void SendHeartbeats();
   /// Sends a heartbeat to the first member of a group that has answered the last one, which forwards it to the others.
@@ -134,6 +136,10 @@
   Time m_leader_unreachable_at;        ///< calls are withheld from then on unless the leader makes contact before
   Time m_leader_version_changed_at{};  ///< when the current row version was first reported
   std::int64_t m_leader_version = 0;
+  std::uint64_t m_contact_epoch = 0;  ///< epoch of the last heartbeat
+  std::uint64_t m_ready_epoch = 0;    ///< epoch whose leader has reported that it can handle calls
+  std::uint64_t m_unready_epoch = 0;  ///< epoch whose leader has only reported that it cannot yet; 0 if none
+  bool m_was_term_ready = false;
   bool m_is_stopping = false;
   std::string m_successor;
   std::string m_passed_over;  ///< did not take over although named as the successor; not named again for some time
--- a/src/instance/cell_takeover_test.cc
+++ b/src/instance/cell_takeover_test.cc
@@ -317,5 +317,61 @@
   EXPECT_GE(cluster.Leader(), 0);
 }
 
+/// Fills the record log, makes the store's replies slow for all, and kills the leader. The next term takes over within
+/// one second and needs about 6 s to read the records.
+void KillLeaderWithLongLog(SimulatedCluster& cluster) {
+  cluster.Run(seconds(2));
+  const int leader = cluster.Leader();
+  constexpr int kJobs = 100;
+  SubmitSteadily(cluster, leader, kJobs, "tasks=1 repeat=1 start=3600000 interval=1 " + std::string(3000, 'x'),
+                 milliseconds(10));
+  cluster.Run(seconds(1));
+  ExpectAllAccepted(cluster, kJobs);
+  for (const auto& instance : cluster.instances) instance->store->scan_bytes_per_second = 50'000;
+  cluster.Kill(leader);
+}
+
+int AnyLiveFollower(const SimulatedCluster& cluster) {
+  for (std::size_t i = 0; i < cluster.instances.size(); ++i) {
+    if (cluster.instances[i]->is_up && !cluster.instances[i]->cell->is_leader()) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+// Guards against calls that a leader without its records holds until the caller has given up.
+TEST(CellTakeoverTest, CallsAreRefusedEarlyWhileTheLeaderIsNotReady) {
+  SimulatedCluster cluster(3, 4);
+  KillLeaderWithLongLog(cluster);
+  cluster.Run(milliseconds(1200));
+  ASSERT_EQ(cluster.Leader(), -1);
+  const int follower = AnyLiveFollower(cluster);
+  cluster.Call(follower, "POST", "early", "tasks=1", "key", 3000);
+  // The caller waits 3 s in total, and Retry-After is at least 1 s.
+  cluster.Run(milliseconds(1300));
+  EXPECT_EQ(cluster.LastStatus("POST early"), FakeClientCodec::kNotRun);
+  cluster.Call(follower, "POST", "later", "tasks=1", "key", 3000);
+  cluster.Run(milliseconds(20));
+  EXPECT_EQ(cluster.LastStatus("POST later"), FakeClientCodec::kNotRun) << "must be refused at once";
+  cluster.Run(seconds(8));
+  ASSERT_GE(cluster.Leader(), 0);
+  cluster.Call(follower, "POST", "early", "tasks=1");
+  cluster.Run(milliseconds(300));
+  EXPECT_EQ(cluster.LastStatus("POST early"), kAccepted);
+}
+
+// Guards against calls that wait for the next regular heartbeat after the leader has become ready.
+TEST(CellTakeoverTest, HeldCallsAreSentWhenTheLeaderIsReady) {
+  SimulatedCluster cluster(3, 4);
+  cluster.Run(seconds(2));
+  cluster.Kill(cluster.Leader());
+  const int follower = AnyLiveFollower(cluster);
+  cluster.Call(follower, "POST", "job1", "tasks=1");
+  while (cluster.Leader() < 0 && ToMillis(cluster.queue.now().time_since_epoch()) < 10'000)
+    cluster.Run(milliseconds(10));
+  ASSERT_GE(cluster.Leader(), 0);
+  cluster.Run(milliseconds(100));
+  EXPECT_EQ(cluster.LastStatus("POST job1"), kAccepted);
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -24,6 +24,7 @@
   if (heartbeat.fittest_class != LeaderClass::kFit) {
     out["fittest_class"] = static_cast<std::int64_t>(heartbeat.fittest_class);
   }
+  out["ready"] = heartbeat.is_ready;
   if (!heartbeat.forward_to.empty()) {
     out["forward_to"] = json::array(heartbeat.forward_to.begin(), heartbeat.forward_to.end());
   }
@@ -38,6 +39,7 @@
   const std::int64_t version = reader.Int("version", 0, 0, kMaxInt);
   Heartbeat heartbeat{record.value_or(LeaderRecord{}), version, {}};
   heartbeat.fittest_class = static_cast<LeaderClass>(reader.Int("fittest_class", kMaxClass, 0, kMaxClass));
+  heartbeat.is_ready = reader.Bool("ready", true);
   if (const json::array* addresses = reader.Array("forward_to")) {
     for (const json::value& address : *addresses) {
       if (!address.is_string()) return std::nullopt;
--- a/src/instance/peer_codec.h
+++ b/src/instance/peer_codec.h
@@ -20,6 +20,7 @@
   std::vector<std::string> forward_to;  ///< followers to which the receiver forwards the heartbeat
   /// Class of the fittest follower, whose attempt to take over the less fit ones await.
   LeaderClass fittest_class = LeaderClass::kFit;
+  bool is_ready = true;  ///< whether the leader can handle calls; an older version does not say
 };
 
 /// Reply to a heartbeat: the followers that have answered a forwarded one since the last reply.
--- a/src/instance/peer_codec_test.cc
+++ b/src/instance/peer_codec_test.cc
@@ -30,5 +30,15 @@
   EXPECT_EQ(older->fittest_class, LeaderClass::kFit);
 }
 
+// Guards against calls that are withheld from a leader of an older version.
+TEST(PeerCodecTest, MissingReadinessMeansReady) {
+  Heartbeat heartbeat;
+  heartbeat.is_ready = false;
+  EXPECT_FALSE(DecodeHeartbeat(EncodeHeartbeat(heartbeat))->is_ready);
+  const auto older = DecodeHeartbeat(R"({"record": "{\"epoch\":1,\"sequence\":1,\"address\":\"a\"}", "version": 3})");
+  ASSERT_TRUE(older);
+  EXPECT_TRUE(older->is_ready);
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -9,6 +9,10 @@
 constexpr Duration kRetryDelay{80'000};
 /// An attempt without a response is repeated on another connection, as a broken connection may never report an error.
 constexpr Duration kAttemptTimeout{1'300'000};
+/// The last attempt of a call ends this long before the call, so that its result tells whether the call was sent. If
+/// both ended at the same time, calls that were never sent were reported as possibly run.
+constexpr Duration kOutcomeMargin{40'000};
+constexpr std::int64_t kOutcomeMarginDivisor = 4;  ///< the margin is at most the time left divided by this
 /// Without a leader for this time, this instance is partitioned and refuses calls at once. A takeover takes 0.4 to
 /// 0.9 s, and the old leader counts as known for another 0.5 s.
 constexpr Duration kNoLeaderTimeout{1'300'000};
@@ -42,7 +46,9 @@
 void Relay::SendAttempt(const CallPtr& call, Time now) {
   if (call->is_done) return;
   call->is_attempt_pending = true;
-  const Time attempt_deadline = std::min(call->deadline, now + kAttemptTimeout);
+  const Duration time_left = std::max(Duration::zero(), call->deadline - now);
+  const Duration margin = std::min(kOutcomeMargin, time_left / kOutcomeMarginDivisor);
+  const Time attempt_deadline = std::min(call->deadline - margin, now + kAttemptTimeout);
   const std::uint64_t attempt = ++call->attempt;
   ++call->unresolved_attempts;
   m_ports.send(m_leader_address, call->request, attempt_deadline, [this, call, attempt](Attempt result) {
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -32,13 +32,14 @@
     std::function<HttpResponse(const HttpRequest&, Duration waited, bool may_have_run)> encode_failure;
   };
 
-  explicit Relay(Ports ports) : m_ports(std::move(ports)) {}
+  /// @param started_at calls are held from then on although no leader has been known yet
+  explicit Relay(Ports ports, Time started_at = {}) : m_ports(std::move(ports)), m_leader_known_at(started_at) {}
 
   /// Accepts a call. `done` is called once, no later than the first tick after the deadline.
   void OnCall(HttpRequest request, Time now, Time deadline, std::function<void(HttpResponse)> done);
 
   /// Sets the current leader. All open calls are sent again to a new leader.
-  /// @param is_known false while no leader is known
+  /// @param is_known false while no leader is known that is reachable and can handle calls
   /// @param address empty if this instance leads
   void SetLeader(bool is_known, const std::string& address, std::uint64_t epoch, Time now);
 
@@ -71,7 +72,7 @@
   std::string m_leader_address;
   std::uint64_t m_leader_epoch = 0;
   Time m_now{};
-  Time m_leader_known_at{};
+  Time m_leader_known_at;
 };
 
 }  // namespace jaymast
--- a/src/instance/relay_test.cc
+++ b/src/instance/relay_test.cc
@@ -21,6 +21,7 @@
  protected:
   struct SentAttempt {
     std::string address;
+    Time deadline;
     std::function<void(Relay::Attempt)> done;
   };
 
@@ -42,8 +43,8 @@
   std::vector<SentAttempt> m_sent_attempts;
   std::vector<int> m_statuses;
   Relay m_relay{
-      {[this](const std::string& address, const HttpRequest&, Time, std::function<void(Relay::Attempt)> done) {
-         m_sent_attempts.push_back({address, std::move(done)});
+      {[this](const std::string& address, const HttpRequest&, Time deadline, std::function<void(Relay::Attempt)> done) {
+         m_sent_attempts.push_back({address, deadline, std::move(done)});
        },
        [](const HttpRequest& /*request*/, Duration /*waited*/, bool may_have_run) {
          return HttpResponse{may_have_run ? kMayHaveRun : kRefused, {}, ""};
@@ -89,6 +90,21 @@
   EXPECT_EQ(m_statuses, std::vector<int>{kMayHaveRun});
 }
 
+// Guards against an unknown outcome for a call whose last attempt waited for a connection until its end.
+TEST_F(RelayTest, CallThatWasNeverSentIsNotRun) {
+  Tick(milliseconds(10));
+  Call();
+  const Time deadline = m_now + milliseconds(2800);
+  std::size_t resolved = 0;
+  while (m_statuses.empty() && m_now <= deadline) {
+    Tick(milliseconds(10));
+    while (resolved < m_sent_attempts.size() && m_now >= m_sent_attempts[resolved].deadline) {
+      m_sent_attempts[resolved++].done({false, false, false, {}});
+    }
+  }
+  EXPECT_EQ(m_statuses, std::vector<int>{kRefused});
+}
+
 // Guards against calls that wait for their deadline although this instance is partitioned.
 TEST_F(RelayTest, CallIsRefusedAtOnceWithoutLeader) {
   Tick(milliseconds(10));
