--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "cell/cell_event_sink.h"
 #include "cell/leader_election.h"
+#include "cell/leader_fitness.h"
 #include "cell/policy_client.h"
 #include "cell/state_store.h"
 #include "instance/cell_term.h"
@@ -60,9 +61,9 @@
   };
 
   /// @param address peer address of this instance
-  /// @param cpu_millis CPU share of this instance in thousandths of a core
+  /// @param fitness resources of this instance that decide whether it should lead
   /// @param rank staggers the takeover attempts of the instances
-  CellInstance(Ports ports, std::string address, std::int64_t cpu_millis, std::uint64_t rank, Time now);
+  CellInstance(Ports ports, std::string address, LeaderFitness fitness, std::uint64_t rank, Time now);
   ~CellInstance();
 
   void OnTick(Time now, std::int64_t unix_now_ms);
@@ -86,7 +87,7 @@
   class PolicyRouter;
   struct Follower {
     Time last_contact_at{};
-    std::int64_t cpu_millis = 0;
+    LeaderFitness fitness;
     Time joined_at{};  ///< first join announcement to this leader
     bool is_heartbeat_pending = false;
   };
@@ -97,6 +98,8 @@
                     const std::function<void(Relay::Attempt)>& done);
   void HandleClientCall(const HttpRequest& request, const std::function<void(HttpResponse, bool is_undecided)>& done);
   Heartbeat BuildHeartbeat() const;
+  /// Lets the relay send calls only to a leader that is reachable and not known to be unable to handle calls.
+  void UpdateRelay();
   void OnHeartbeat(const Heartbeat& heartbeat);
   void SendHeartbeats();
   /// Sends a heartbeat to the first member of a group that has answered the last one, which forwards it to the others.
@@ -105,14 +108,15 @@
   void OnFollowerContact(const std::string& address);
   void SendJoinAnnouncement();
   void UpdatePolicyCallers();
-  void YieldToLargerInstance();
+  void YieldToFitterInstance();
+  /// Address of the fittest follower that is reachable, or empty.
   std::string ChooseSuccessor() const;
   void RequestTickets(const std::string& caller, const PolicyRequest& policy_request,
                       std::function<void(PolicyReply)> done);
 
   Ports m_ports;
   const std::string m_address;
-  const std::int64_t m_cpu_millis;
+  const LeaderFitness m_fitness;
   Time m_now;
   std::int64_t m_unix_now_ms = 0;
   const Time m_started_at;
@@ -132,8 +136,14 @@
   Time m_leader_unreachable_at;        ///< calls are withheld from then on unless the leader makes contact before
   Time m_leader_version_changed_at{};  ///< when the current row version was first reported
   std::int64_t m_leader_version = 0;
+  std::uint64_t m_contact_epoch = 0;  ///< epoch of the last heartbeat
+  std::uint64_t m_ready_epoch = 0;    ///< epoch whose leader has reported that it can handle calls
+  std::uint64_t m_unready_epoch = 0;  ///< epoch whose leader has only reported that it cannot yet; 0 if none
+  bool m_was_term_ready = false;
   bool m_is_stopping = false;
   std::string m_successor;
+  std::string m_passed_over;  ///< did not take over although named as the successor; not named again for some time
+  Time m_passed_over_until{};
   std::uint64_t m_call_count = 0;
 };
 
