Plan policy calls by what can start and what a call costs

Cause: policy calls were given out in the order of placement. A gang called although the free capacity could not hold it, several gangs called for the same capacity, and an upstream that was not ready at the time of a call counted as denied for good.

Change: PolicyCallPlanner decides from free and allowed capacity, less what steps with a higher claim will take, whether a call can lead to a start, and how many upstreams it names: the margin balances the cost of one more upstream against that of a further call. Steps that can't start only ask for decisions, until the allowed upstreams hold three times their tasks. An upstream that is missing in a reply counts as denied only if it was usable, with the same incarnation, at the call and at the reply. The share that the policy allows is learned from new decisions only. The switch policy_planning returns to the former order and counts.

CellPolicyCallsTest.UpstreamThatWasNotReadyIsNotDenied was seen to fail without the condition on readiness.

--- a/src/cell/policy_call_dispatcher.h
+++ b/src/cell/policy_call_dispatcher.h
@@ -44,6 +44,8 @@
   bool TryCall(PolicyRequest request, Purpose purpose, std::function<void(const PolicyReply&)> done);
 
   std::size_t CountOpenCalls() const;
+  /// Instances that may make long calls at a time.
+  std::size_t CountLongCallers() const { return MaxLongCalls(); }
   /// Instances that make no calls for a while, as one got no reply.
   std::size_t CountBlockedCallers() const;
 
--- a/src/cell/policy_client.h
+++ b/src/cell/policy_client.h
@@ -19,8 +19,9 @@
   std::size_t occurrence = 0;
   std::size_t step = 0;
   std::vector<UpstreamId> upstreams;
-  std::int64_t expected_ms = 0;  ///< expected duration of the call
-  std::int64_t timeout_ms = 0;   ///< time after which the call is given up
+  std::vector<std::int64_t> incarnations;  ///< of the upstreams when the call was made; not sent to other instances
+  std::int64_t expected_ms = 0;            ///< expected duration of the call
+  std::int64_t timeout_ms = 0;             ///< time after which the call is given up
 };
 
 struct PolicyReply {
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -19,6 +19,7 @@
 #include "cell/group_committer.h"
 #include "cell/lease_record.h"
 #include "cell/policy_call_dispatcher.h"
+#include "cell/policy_call_planner.h"
 #include "cell/policy_client.h"
 #include "cell/record_log.h"
 #include "cell/refused_calls.h"
@@ -103,6 +104,7 @@
   /// Steps with waiting tasks, as of the last placement pass.
   std::size_t waiting_steps() const { return m_waiting_steps; }
   const PolicyCallDispatcher& policy_calls() const { return m_policy_calls; }
+  const PolicyCallPlanner& policy_planner() const { return m_policy_planner; }
 
  private:
   /// Tasks of earlier leaders on unreachable upstreams have ended this long after the takeover, as no lease lasts
@@ -261,16 +263,42 @@
   /// Requests tickets for waiting steps: first for those whose tasks could start at once, in the order of the placement
   /// pass; one in some calls goes to the one that has waited longest.
   void RequestTicketsFor(const std::vector<StepRef>& steps);
+  /// Waiting steps of which nothing has run for long, the longest wait first.
+  std::vector<const StepRef*> ListLongestWaiting(const std::vector<StepRef>& steps) const;
+  /// Whether the step may make a call now, as none is open for it or the open one is overdue.
+  bool MayCallPolicy(const StepState& step) const;
+  bool IsPolicyCallOverdue(const StepState& step) const;
   /// @return whether a call was made
   bool RequestTickets(const StepRef& ref, PolicyCallDispatcher::Purpose purpose);
+  /// Makes a call that names these upstreams.
+  /// @return whether an instance was free
+  bool CallPolicy(const StepRef& ref, PolicyCallDispatcher::Purpose purpose, std::vector<UpstreamId> upstreams);
   /// Whether tasks of the step could start at once if the policy allowed the upstreams it has not decided on.
   bool CouldStart(const StepRef& ref) const;
   /// Upstreams for which a step should request tickets: with free capacity first, none if its tickets are sufficient.
   std::vector<UpstreamId> ChooseUpstreamsToRequest(const StepRef& ref, const QueueConfig& queue);
+
+  /// What a step may ask the policy service for.
+  struct PolicyOffers {
+    PolicyCallPlanner::Need need;
+    std::vector<PolicyCallPlanner::Offer> offers;  ///< allowed ones first, then those with most free capacity
+    std::vector<UpstreamId> upstreams;             ///< of the offers
+  };
+  /// RequestTicketsFor() by the plan of PolicyCallPlanner.
+  void RequestPlannedTickets(const std::vector<StepRef>& steps);
+  /// @param when_free whether to count free capacity, or all that the upstreams have
+  /// @param free_share share of the free capacity that steps with a higher claim leave
+  PolicyOffers CollectPolicyOffers(const StepRef& ref, bool when_free, double free_share) const;
+  /// Makes a call for a step that can't start yet, unless enough is known about it.
+  void PrefetchDecisions(const StepRef& ref);
+
   /// @param step_key key of the first task of the step
   /// @param request_sent_at when the call was made
   void OnPolicyReply(const TaskKey& step_key, const PolicyRequest& request, Time request_sent_at,
                      const PolicyReply& policy_reply);
+  /// Records what the policy allows a step. Upstreams that the service may not have known are no denials.
+  void ApplyDecisions(StepState& step, const QueueConfig& queue, const PolicyRequest& request,
+                      const PolicyReply& policy_reply);
 
   Ports m_ports;
   const std::uint64_t m_epoch;
@@ -293,8 +321,8 @@
   std::map<TeamId, Resources> m_team_usage;
   RefusedCalls m_refused_calls;
   PolicyCallDispatcher m_policy_calls;
+  PolicyCallPlanner m_policy_planner;
   AdmissionController m_admission;
-  std::map<QueueId, double> m_allowed_share;  ///< running mean of the share of upstreams that the policy allows
   /// Usable upstreams with their free CPU at the start of the placement pass, in descending order.
   std::vector<std::pair<std::int64_t, UpstreamState*>> m_by_free_cpu;
   mutable std::uint64_t m_placement_checks = 0;
