--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -89,8 +89,10 @@
         const bool is_ready =
             std::all_of(dependencies.begin(), dependencies.end(),
                         [&occurrence](std::size_t dependency) { return occurrence.steps[dependency].not_done == 0; });
-        if (!is_ready) CountWaitingStep({&job, k, s, by_time}, false);
-        if (!is_ready) continue;
+        if (!is_ready) {
+          CountWaitingStep({&job, k, s, UrgencyByTime(job, s)}, false);
+          continue;
+        }
         if (queue == nullptr) queue = QueueOf(job);
         if (queue == nullptr) continue;
         const Urgency urgency =
