Bound the first frame of a link between entries to 4 KiB

Cause: frames of up to peer.max_frame_bytes were accepted before the sender had named itself and the incarnation that it sends to, on up to 1,024 links.

Change: the first frame, which must be the hello with two ids, has at most 4 KiB; a larger one closes the link as malformed. The read buffer of a link takes 16 KiB instead of 64 KiB. The sum of the frames of known entries is not bounded yet.

--- a/src/net/incoming_link.cc
+++ b/src/net/incoming_link.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "net/endpoint.h"
@@ -10,7 +11,11 @@
 namespace jaymast {
 namespace {
 
-constexpr std::size_t kReadBufferBytes = 64U << 10U;
+/// Small, as links of unknown senders have one too, and there may be max_incoming_links of them.
+constexpr std::size_t kReadBufferBytes = 16U << 10U;
+/// Bound on the first frame, which contains two ids. Only a sender that knows the id of this incarnation may send
+/// larger ones.
+constexpr std::size_t kMaxHelloBytes = 4096;
 
 std::string RemoteAddress(const boost::asio::ip::tcp::socket& socket) {
   boost::system::error_code ignored;
@@ -54,7 +59,8 @@
   while (m_pending_bytes.size() - consumed >= kFrameLengthBytes) {
     const std::string_view unread = std::string_view(m_pending_bytes).substr(consumed);
     const std::size_t length = DecodeFrameLength(unread);
-    if (length > m_state->options.max_frame_bytes) {
+    const std::size_t max_hello_bytes = std::min(kMaxHelloBytes, m_state->options.max_frame_bytes);
+    if (length > (m_from.empty() ? max_hello_bytes : m_state->options.max_frame_bytes)) {
       return CloseMalformed(
           {ErrorId::kInputTooLarge, "length", std::to_string(length) + " bytes exceed the frame size limit"});
     }
