--- a/src/runtime/client_limits_process_test.cc
+++ b/src/runtime/client_limits_process_test.cc
@@ -25,7 +25,7 @@
 constexpr milliseconds kSendTimeout{30'000};
 constexpr milliseconds kPollInterval{20};
 /// Bound on the resident memory of a process that holds about 20 MB when idle.
-constexpr std::int64_t kMaxResidentKb = 64 * 1024;
+constexpr std::int64_t kMaxResidentKb = 65'536;
 constexpr std::int64_t kMaxDescriptors = 128;
 constexpr std::size_t kMaxBodyBytes = 1'000'000;
 constexpr const char* kTarget = "/v1/tasks";
