--- a/src/instance/cell_takeover_test.cc
+++ b/src/instance/cell_takeover_test.cc
@@ -366,8 +366,9 @@
   cluster.Kill(cluster.Leader());
   const int follower = AnyLiveFollower(cluster);
   cluster.Call(follower, "POST", "job1", "tasks=1");
-  while (cluster.Leader() < 0 && ToMillis(cluster.queue.now().time_since_epoch()) < 10'000)
+  while (cluster.Leader() < 0 && ToMillis(cluster.queue.now().time_since_epoch()) < 10'000) {
     cluster.Run(milliseconds(10));
+  }
   ASSERT_GE(cluster.Leader(), 0);
   cluster.Run(milliseconds(100));
   EXPECT_EQ(cluster.LastStatus("POST job1"), kAccepted);
