Keep the learned speeds of upstreams over a takeover

Cause: a new leader places urgent work blindly until it has learned the speeds again, which takes a few seconds, at a time when work has piled up.

Change: the leader writes the row cell/speeds with a regular transaction, at most every 5 s and only if a speed has changed by more than a tenth. A new leader reads it beside the records and waits for nothing: without the row, or with a malformed one, nothing is known. Upstreams of another incarnation are left out, also those that restart during the takeover.

Result: CellSpeedTest.NewLeaderKnowsSpeeds finds the speeds 3 s after the leader was killed, and speed 1 for the upstream that was replaced meanwhile. placement_tests, cell_tests and instance_tests pass.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -110,6 +110,7 @@
   SyncDueUpstreams();
   LeaveDrainingUpstreams();
   RecordLeaseBounds();
+  RecordSpeeds();
   std::erase_if(m_unopened, [this](const auto& entry) { return OpenDueOccurrences(*entry.second); });
   if (m_needs_placement || now >= m_next_placement) PlaceWaitingSteps();
 }
@@ -139,6 +140,7 @@
   }
   batch.writes = m_log.TakeWrites();
   const std::vector<UpstreamId> withdrawn = PutLeaseBounds(batch);
+  PutSpeeds(batch);
   if (!m_commit_queue.empty()) m_mark_dirty();
   batch.on_committed = [this, batched_changes = std::move(batched_changes), withdrawn] {
     for (const UpstreamId& id : withdrawn) {
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -66,6 +66,8 @@
   void LoadJob(Job job, std::int64_t age_ms);
   /// @param store_now_ms store clock when the bounds were read, or earlier
   void LoadLeaseBounds(const LeaseBounds& bounds, std::int64_t store_now_ms);
+  /// Adds the speeds that an earlier leader has learned. May come at any time.
+  void LoadSpeeds(const std::vector<LearnedSlowness>& speeds);
   /// Computes the allocated capacity of upstreams and organisations from the recorded jobs.
   void FinishLoading();
 
@@ -206,6 +208,10 @@
   /// Adds the changed lease bounds to the next transaction.
   /// @return the upstreams whose recorded bounds it removes
   std::vector<UpstreamId> PutLeaseBounds(CommitBatch& batch);
+  /// Decides whether the learned speeds are written with the next transaction.
+  void RecordSpeeds();
+  /// Adds the learned speeds to the next transaction if they are due.
+  void PutSpeeds(CommitBatch& batch);
   /// Extends the leases of an upstream.
   /// @return end of the leases in ms on the clock of the upstream, 0 if no lease may be granted
   std::int64_t GrantLease(UpstreamState& upstream);
@@ -343,6 +349,8 @@
   Time m_next_drain_check{};
   Time m_next_lease_check{};
   bool m_are_lease_bounds_changed = false;
+  Time m_next_speeds_write{};
+  bool m_are_speeds_due = false;
 };
 
 }  // namespace jaymast
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -5,6 +5,7 @@
 
 #include "cell/lease_record.h"
 #include "cell/scheduler.h"
+#include "cell/speed_record.h"
 #include "jobs/job_record.h"
 
 namespace jaymast {
@@ -23,6 +24,10 @@
 /// The end of the leases of an upstream is recorded after this time without a reply.
 constexpr Duration kLeaseBoundDelay{1'000'000};
 constexpr Duration kLeaseCheckInterval{200'000};
+/// A transaction holds 100 rows. The leader row and the row of the speeds come on top of the batch.
+constexpr std::size_t kMaxBatchRows = 98;
+/// The learned speeds are written at most this often. A successor that lacks the last seconds has to learn little.
+constexpr Duration kSpeedsInterval{5'000'000};
 
 }  // namespace
 
@@ -120,6 +125,36 @@
   return withdrawn;
 }
 
+void Scheduler::LoadSpeeds(const std::vector<LearnedSlowness>& speeds) {
+  std::vector<LearnedSlowness> current;
+  for (const LearnedSlowness& learned : speeds) {
+    const UpstreamState* upstream = FindUpstream(learned.upstream);
+    const bool is_replaced =
+        upstream != nullptr && upstream->incarnation != 0 && upstream->incarnation != learned.incarnation;
+    if (!is_replaced) current.push_back(learned);
+  }
+  m_speeds.Load(current);
+  m_speeds.Refresh();
+  m_speeds.MarkExported();
+  m_ports.events.Emit("speeds.loaded", {{"upstreams", std::to_string(current.size())}});
+}
+
+void Scheduler::RecordSpeeds() {
+  if (m_now < m_next_speeds_write) return;
+  m_next_speeds_write = m_now + kSpeedsInterval;
+  m_speeds.Refresh();
+  if (!m_speeds.HasChangedSinceExport()) return;
+  m_are_speeds_due = true;
+  m_mark_dirty();
+}
+
+void Scheduler::PutSpeeds(CommitBatch& batch) {
+  if (!m_are_speeds_due || batch.writes.size() >= kMaxBatchRows) return;
+  m_are_speeds_due = false;
+  m_speeds.MarkExported();
+  batch.writes.push_back({kLeaderTable, kSpeedsKey, EncodeSpeeds(m_speeds.Export())});
+}
+
 void Scheduler::SendStart(const TaskKey& key, std::int32_t run) {
   TaskState* task = FindTask(key);
   if (task == nullptr || task->run != run) return;
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -201,6 +201,7 @@
   upstream.last_reply_at = m_now;
   SetClock(upstream, reply.clock_ms);
   upstream.incarnation = reply.incarnation;
+  if (!was_adopted) m_speeds.SetIncarnation(id, reply.incarnation);
   if (is_new_incarnation) {
     m_ports.events.Emit("upstream.restarted", {{"upstream", id.value()}});
     m_speeds.Forget(id);
--- a/src/instance/cell_speed_test.cc
+++ b/src/instance/cell_speed_test.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <string>
 
+#include "cell/speed_record.h"
 #include "cell_testing/cell_checks.h"
 #include "cell_testing/mixed_speed_site.h"
 
@@ -65,6 +66,41 @@
   ExpectNoViolation(cluster);
 }
 
+// Guards against a new leader that places urgent work blindly until it has learned the speeds again, and against the
+// speed of a machine that was replaced during the takeover.
+TEST(CellSpeedTest, NewLeaderKnowsSpeeds) {
+  SimulatedCluster cluster(3, 8, 4000);
+  for (std::size_t i = 0; i < 4; ++i) cluster.fake_upstreams[i]->speed = 2;
+  cluster.Run(seconds(2));
+  for (int i = 0; i < 16; ++i) {
+    cluster.Call(0, "POST", "job" + std::to_string(i), "tasks=8 cpu=4000 ms=600");
+    cluster.Run(milliseconds(900));
+  }
+  ASSERT_GT(SpeedOf(cluster, "u0"), 1.2);
+  cluster.Run(seconds(3));
+  const int old_leader = cluster.Leader();
+  cluster.fake_upstreams[1]->Restart();
+  cluster.Kill(old_leader);
+  cluster.Run(seconds(3));
+  ASSERT_GE(cluster.Leader(), 0);
+  EXPECT_NE(cluster.Leader(), old_leader);
+  EXPECT_GT(SpeedOf(cluster, "u0"), 1.2);
+  EXPECT_LT(SpeedOf(cluster, "u7"), 0.9);
+  EXPECT_EQ(SpeedOf(cluster, "u1"), 1.0);
+  ExpectNoViolation(cluster);
+}
+
+// Guards against a row in every transaction of a cell whose upstreams are alike.
+TEST(CellSpeedTest, NothingIsWrittenWithoutDifferences) {
+  SimulatedCluster cluster(3, 8, 4000);
+  cluster.Run(seconds(2));
+  for (int i = 0; i < 12; ++i) {
+    cluster.Call(0, "POST", "job" + std::to_string(i), "tasks=8 cpu=4000 ms=600");
+    cluster.Run(milliseconds(900));
+  }
+  EXPECT_TRUE(cluster.store.Read(kLeaderTable, kSpeedsKey, "", 10).rows.empty());
+}
+
 // Guards against speeds learned from runs that were stopped or lost, and against a restarted upstream that keeps the
 // speed of its predecessor.
 TEST(CellSpeedTest, LostRunsAndRestartsLeaveNoSpeed) {
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -6,12 +6,15 @@
 #include <utility>
 
 #include "cell/lease_record.h"
+#include "cell/speed_record.h"
 #include "jobs/job_record.h"
 
 namespace jaymast {
 namespace {
 
 constexpr Duration kLoadRetryDelay{50'000};
+/// Delay after an unsuccessful read of the learned speeds, which nothing waits for.
+constexpr Duration kSpeedLoadRetryDelay{1'000'000};
 /// Delay after a page that does not continue the one before.
 constexpr Duration kNoProgressDelay{1'000'000};
 /// If the store has not responded for this time, another instance may be about to take over.
@@ -52,6 +55,7 @@
     CheckLoaded();
   }
   if (!m_are_leases_loaded && !m_is_reading_leases && now >= m_next_lease_load_at) LoadLeaseBounds();
+  if (m_speed_reads_left > 0 && !m_is_reading_speeds && now >= m_next_speed_load_at) LoadSpeeds();
   m_feeds->OnTick(now);
   m_scheduler.SetLeadershipStatus({m_committer.confirmed_at(), m_committer.IsStalled(now, kStoreStallThreshold),
                                    m_committer.IsStalled(now, kStoreOutageThreshold), m_committer.store_now_ms(now),
@@ -144,6 +148,28 @@
   m_request_tick();
 }
 
+void CellTerm::LoadSpeeds() {
+  m_is_reading_speeds = true;
+  --m_speed_reads_left;
+  const std::string key = kSpeedsKey;
+  m_store.Scan(kLeaderTable, key, key + '\x01', {1, PageSizer::kMinTimeout},
+               [this](const StateScanReply& reply) { OnSpeeds(reply); });
+}
+
+void CellTerm::OnSpeeds(const StateScanReply& reply) {
+  m_is_reading_speeds = false;
+  if (!reply.is_available) {
+    m_next_speed_load_at = m_now + kSpeedLoadRetryDelay;
+    return;
+  }
+  m_speed_reads_left = 0;
+  if (reply.rows.empty()) return;
+  const StateRow& row = reply.rows.front();
+  const std::optional<std::vector<LearnedSlowness>> speeds = DecodeSpeeds(row.value);
+  if (!speeds) return m_events.Emit("record.unreadable", {{"path", row.table + "/" + row.key}});
+  m_scheduler.LoadSpeeds(*speeds);
+}
+
 void CellTerm::OnRow(const StateRow& row) {
   std::optional<std::vector<LogRecord>> records = DecodeLogRow(row.value);
   if (!records) return m_events.Emit("record.unreadable", {{"path", row.table + "/" + row.key}});
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -63,6 +63,9 @@
   void OnPage(const StateScanReply& reply);
   void LoadLeaseBounds();
   void OnLeaseBounds(const StateScanReply& reply);
+  /// Reads the speeds that the earlier leader has learned. Nothing waits for them.
+  void LoadSpeeds();
+  void OnSpeeds(const StateScanReply& reply);
   void OnRow(const StateRow& row);
   void AddJob(const JobId& id, const LoadedJob& loaded, std::int64_t store_now_ms);
   /// Applies the progress and occurrence records. Emits an event and returns false if one is unreadable.
@@ -90,6 +93,9 @@
   Time m_next_lease_load_at{};
   bool m_is_reading = false;
   bool m_is_reading_leases = false;
+  int m_speed_reads_left = 3;
+  bool m_is_reading_speeds = false;
+  Time m_next_speed_load_at{};
   /// Read but not applied yet: their remaining time counts from a tick after the read.
   std::optional<LeaseBounds> m_read_lease_bounds;
   std::int64_t m_leases_read_at_ms = 0;  ///< store clock
--- a/src/placement/upstream_speeds.cc
+++ b/src/placement/upstream_speeds.cc
@@ -40,6 +40,8 @@
 /// A speed that deviates from the mean by this many standard deviations is reported although the other upstreams are
 /// alike.
 constexpr double kSignificantDeviations = 3.0;
+/// A speed that has changed by more than this share is worth writing for a successor.
+constexpr double kExportedChange = 0.1;
 
 }  // namespace
 
@@ -80,6 +82,42 @@
 
 void UpstreamSpeeds::Forget(const UpstreamId& id) { m_is_changed |= m_upstreams.erase(id) > 0; }
 
+void UpstreamSpeeds::SetIncarnation(const UpstreamId& id, std::int64_t incarnation) {
+  const auto found = m_upstreams.find(id);
+  if (found != m_upstreams.end() && found->second.incarnation != incarnation) Forget(id);
+}
+
+std::vector<LearnedSlowness> UpstreamSpeeds::Export() const {
+  std::vector<LearnedSlowness> learned;
+  for (const auto& [id, upstream] : m_upstreams) {
+    const double mean_slowness = m_services.at(upstream.service).mean_slowness;
+    learned.push_back(
+        {upstream.service, id, upstream.incarnation, upstream.slowness - mean_slowness, upstream.variance});
+  }
+  std::sort(learned.begin(), learned.end(), [](const auto& a, const auto& b) { return a.upstream < b.upstream; });
+  return learned;
+}
+
+void UpstreamSpeeds::Load(const std::vector<LearnedSlowness>& learned) {
+  for (const LearnedSlowness& entry : learned) {
+    if (m_upstreams.contains(entry.upstream)) continue;
+    Upstream& upstream = UpstreamOf(entry.service, entry.upstream, entry.incarnation);
+    upstream.slowness += entry.slowness;
+    upstream.variance = std::clamp(entry.variance, kDriftVariance, kInitialVariance);
+    m_is_changed = true;
+  }
+}
+
+bool UpstreamSpeeds::HasChangedSinceExport() const {
+  return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& entry) {
+    return std::abs(entry.second.speed - entry.second.exported_speed) > kExportedChange * entry.second.exported_speed;
+  });
+}
+
+void UpstreamSpeeds::MarkExported() {
+  for (auto& [id, upstream] : m_upstreams) upstream.exported_speed = upstream.speed;
+}
+
 void UpstreamSpeeds::Refresh() {
   if (!m_is_changed) return;
   m_is_changed = false;
--- a/src/placement/upstream_speeds.h
+++ b/src/placement/upstream_speeds.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/id.h"
 
@@ -22,6 +23,17 @@
   double declared_ms = 0;     ///< declared run time, 0 if unknown
 };
 
+/// What is known about the speed of one upstream, to be kept for a successor.
+struct LearnedSlowness {
+  std::string service;
+  UpstreamId upstream;
+  std::int64_t incarnation = 0;
+  double slowness = 0;  ///< natural logarithm of the run time compared with an upstream of mean speed
+  double variance = 0;  ///< of `slowness`
+
+  friend bool operator==(const LearnedSlowness&, const LearnedSlowness&) = default;
+};
+
 /// Estimates how fast upstreams run tasks compared with the mean upstream of their service.
 ///
 /// Load pattern: upstreams of one service differ in speed by a factor of two or more, nothing in their listing says so,
@@ -39,6 +51,17 @@
 
   /// Discards what is known about an upstream.
   void Forget(const UpstreamId& upstream);
+  /// Discards what is known about an upstream unless it is of this incarnation.
+  void SetIncarnation(const UpstreamId& upstream, std::int64_t incarnation);
+
+  /// Returns what is known, in the order of upstreams.
+  std::vector<LearnedSlowness> Export() const;
+  /// Adds what an earlier leader has learned about upstreams without observations.
+  void Load(const std::vector<LearnedSlowness>& learned);
+  /// Whether the speed of an upstream differs by more than a tenth from the one at the last call of `MarkExported`, or
+  /// from 1 if it was unknown then. As of the last refresh.
+  bool HasChangedSinceExport() const;
+  void MarkExported();
 
   /// Updates the speeds that `SpeedOf` returns, if there were observations since the last call.
   void Refresh();
@@ -63,6 +86,7 @@
     double variance = 0;  ///< of `slowness`
     double trend = 0;     ///< running mean of the deviations of samples, in standard deviations
     double speed = 1;     ///< as of the last refresh
+    double exported_speed = 1;
   };
 
   struct Service {
