Place urgent work by speeds that are certain enough

Cause: an upstream without observations counts as mean, which was fast enough for urgent work by expectation although two thirds of the upstreams are slower. The slowest sufficient upstream was then often an unknown one while known fast ones were free, so the speed of each slow upstream was learned from urgent jobs that were late.

Change: whether an upstream is fast enough is decided by one standard error below its speed. The spread among upstreams is estimated without the bias of those with few samples, so that it is known after the first runs; where upstreams are alike nothing changes. RunTimeModel covers the first observations of a kind by its high percentile.

--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -178,7 +178,10 @@
   for (auto& [id, upstream] : m_upstreams) {
     if (!IsUsable(upstream)) continue;
     m_by_free_cpu.emplace_back(upstream.FreeCapacity().cpu_millis, &upstream);
-    if (m_ports.options.IsOn(CellFeature::kUpstreamSpeeds)) upstream.speed = m_speeds.SpeedOf(id);
+    if (m_ports.options.IsOn(CellFeature::kUpstreamSpeeds)) {
+      upstream.speed = m_speeds.SpeedOf(id);
+      upstream.low_speed = m_speeds.LowSpeedOf(upstream.listing.service.value(), id);
+    }
     m_max_speed = std::max(m_max_speed, upstream.speed);
   }
   if (m_max_speed <= 0) m_max_speed = 1;
@@ -378,6 +381,7 @@
   option.upstream = &upstream;
   option.slots = CountSlots(ref, upstream, free);
   option.speed = upstream.speed;
+  option.low_speed = upstream.low_speed;
   const auto share = [](std::int64_t available, std::int64_t capacity) {
     return static_cast<double>(available) / static_cast<double>(std::max<std::int64_t>(1, capacity));
   };
@@ -412,8 +416,8 @@
   std::vector<UpstreamState*> ordered = candidates;
   const UpstreamSelector selector(RequiredSpeed(ref));
   std::stable_sort(ordered.begin(), ordered.end(), [&selector](const UpstreamState* a, const UpstreamState* b) {
-    const bool is_sufficient = selector.IsSufficient(a->speed);
-    if (is_sufficient != selector.IsSufficient(b->speed)) return is_sufficient;
+    const bool is_sufficient = selector.IsSufficient(a->low_speed);
+    if (is_sufficient != selector.IsSufficient(b->low_speed)) return is_sufficient;
     return a->FreeCapacity().cpu_millis > b->FreeCapacity().cpu_millis;
   });
   std::int64_t reserved_slots = 0;
--- a/src/cell/upstream_selector.cc
+++ b/src/cell/upstream_selector.cc
@@ -16,8 +16,8 @@
 
 bool UpstreamSelector::IsBetter(const UpstreamOption& a, const UpstreamOption& b) const {
   if (a.penalty != b.penalty) return a.penalty < b.penalty;
-  const bool is_sufficient = IsSufficient(a.speed);
-  if (is_sufficient != IsSufficient(b.speed)) return is_sufficient;
+  const bool is_sufficient = IsSufficient(a.low_speed);
+  if (is_sufficient != IsSufficient(b.low_speed)) return is_sufficient;
   const int class_a = ClassOf(a.speed);
   const int class_b = ClassOf(b.speed);
   if (class_a != class_b) return is_sufficient ? class_a < class_b : class_a > class_b;
@@ -47,15 +47,17 @@
     std::int64_t members = 0;
     double capacity = 0;
     double slowest = std::numeric_limits<double>::max();
+    double low_speed = std::numeric_limits<double>::max();
     for (std::size_t i = start; i < options.size() && members < task_count; ++i) {
       const std::int64_t here = std::min(options[i].slots, task_count - members);
       members += here;
       capacity += static_cast<double>(here) * options[i].speed;
       slowest = std::min(slowest, options[i].speed);
+      low_speed = std::min(low_speed, options[i].low_speed);
     }
     if (members < task_count) break;
     // Without a set that is in time, the last start has the fastest slowest member.
-    const double cost = IsSufficient(slowest) ? capacity / slowest : std::numeric_limits<double>::max();
+    const double cost = IsSufficient(low_speed) ? capacity / slowest : std::numeric_limits<double>::max();
     if (cost < chosen_cost || chosen_cost == std::numeric_limits<double>::max()) {
       chosen = start;
       chosen_cost = cost;
--- a/src/cell/upstream_selector.h
+++ b/src/cell/upstream_selector.h
@@ -13,6 +13,7 @@
   UpstreamState* upstream = nullptr;
   std::int64_t slots = 0;  ///< tasks of the step that fit into its free capacity
   double speed = 1;        ///< relative to the mean upstream
+  double low_speed = 1;    ///< exceeded with high probability; decides whether the upstream is fast enough
   double free_share = 0;   ///< of its capacity, summed over CPU and memory
   int penalty = 0;         ///< upstreams with the lowest penalty are chosen, whatever their speed
 };
@@ -36,7 +37,7 @@
   /// @param options with at least `task_count` slots in all; penalties are ignored
   void ChooseForGang(std::vector<UpstreamOption>& options, std::int64_t task_count) const;
 
-  bool IsSufficient(double speed) const { return speed >= m_required_speed; }
+  bool IsSufficient(double low_speed) const { return low_speed >= m_required_speed; }
 
  private:
   /// Class of speeds that count as equal, higher for faster ones.
--- a/src/cell/upstream_selector_test.cc
+++ b/src/cell/upstream_selector_test.cc
@@ -18,7 +18,7 @@
     UpstreamState& upstream = m_upstreams.emplace_back();
     upstream.listing.capacity.cpu_millis = 10'000;
     upstream.allocated.cpu_millis = static_cast<std::int64_t>(10'000 * (1 - free_share));
-    options.push_back({&upstream, slots, speed, free_share, penalty});
+    options.push_back({&upstream, slots, speed, speed, free_share, penalty});
   }
 
   double SpeedOfChoice(double required_speed) {
@@ -65,6 +65,15 @@
   EXPECT_EQ(SpeedOfChoice(kUnattainable), 1.08);
 }
 
+// Guards against urgent work on upstreams of unknown speed, most of which are slow, while a fast one is free.
+TEST_F(UpstreamSelectorTest, UncertainSpeedIsNotSufficient) {
+  Add(1.7, 4, 0.5);
+  Add(1.0, 4, 0.5);
+  options.back().low_speed = 0.65;
+  EXPECT_EQ(SpeedOfChoice(0.9), 1.7);
+  EXPECT_EQ(SpeedOfChoice(0.6), 1.0);
+}
+
 // Guards against a retry on the upstream where the task has just failed because it has the right speed.
 TEST_F(UpstreamSelectorTest, PenaltyCountsBeforeSpeed) {
   Add(1.7, 4, 0.5, 1);
--- a/src/cell/upstream_state.h
+++ b/src/cell/upstream_state.h
@@ -55,7 +55,9 @@
   std::map<std::int64_t, bool> ends;
   std::int64_t acknowledged_end = 0;
 
-  double speed = 1;  ///< relative to the mean upstream, as of the last placement pass
+  // Relative to the mean upstream, as of the last placement pass.
+  double speed = 1;
+  double low_speed = 1;  ///< exceeded with high probability
 
   // Health, derived from the results of runs.
   int consecutive_failures = 0;
--- a/src/placement/run_time_model.cc
+++ b/src/placement/run_time_model.cc
@@ -2,14 +2,14 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdint>
+#include <limits>
 #include <vector>
 
 namespace jaymast {
 namespace {
 
 /// Observations for which an exact declaration counts.
-constexpr double kPriorObservations = 4;
+constexpr std::size_t kPriorObservations = 4;
 /// Variance of the logarithms of the declared times of these observations: a factor of 1.65 either way.
 constexpr double kPriorVariance = 0.25;
 /// Residuals are clipped to a factor of 2.7 around their median, which a declared time that is wrong by 2.5 stays
@@ -38,9 +38,9 @@
   if (!std::isfinite(run_ms) || run_ms <= 0) return;
   Kind& kind = Touch(name);
   Observation& observation = kind.window[kind.next];
-  observation.is_declared = std::isfinite(declared_ms) && declared_ms > 0;
-  observation.declared = observation.is_declared ? static_cast<float>(std::log(declared_ms)) : 0;
-  observation.run = static_cast<float>(std::log(run_ms));
+  const bool is_declared = std::isfinite(declared_ms) && declared_ms > 0;
+  observation.declared = is_declared ? std::log(declared_ms) : std::numeric_limits<double>::quiet_NaN();
+  observation.run = std::log(run_ms);
   kind.next = (kind.next + 1) % kWindow;
   kind.count = std::min(kind.count + 1, kWindow);
   Fit(kind);
@@ -53,25 +53,27 @@
   for (std::size_t i = 0; i < kind.count; ++i) {
     const Observation& observation = kind.window.at(i);
     runs.push_back(observation.run);
-    if (!observation.is_declared) continue;
+    if (std::isnan(observation.declared)) continue;
     errors.push_back(observation.run - observation.declared);
     mean_declared += observation.declared;
   }
   const double mean_run = RobustMean(runs);
   for (double& run : runs) run -= mean_run;
-  kind.mean_run = static_cast<float>(mean_run);
-  kind.undeclared_high = static_cast<float>(Percentile(runs, kHighPercentile));
+  kind.mean_run = mean_run;
+  kind.undeclared_high = Percentile(runs, kHighPercentile);
   if (errors.empty()) return;
   const auto count = static_cast<double>(errors.size());
   mean_declared /= count;
   const double mean_error = RobustMean(errors);
-  const double offset = mean_error * count / (count + kPriorObservations);
+  const double offset = mean_error * count / (count + static_cast<double>(kPriorObservations));
+  errors.resize(errors.size() + kPriorObservations, 0);
+  kind.early_high = Percentile(errors, kHighPercentile);
   // The slope of the error on the declared time is -1 where the run time does not depend on it.
   double covariance = 0;
-  double variance = kPriorObservations * kPriorVariance;
+  double variance = static_cast<double>(kPriorObservations) * kPriorVariance;
   for (std::size_t i = 0; i < kind.count; ++i) {
     const Observation& observation = kind.window.at(i);
-    if (!observation.is_declared) continue;
+    if (std::isnan(observation.declared)) continue;
     const double error = observation.run - observation.declared - mean_error;
     const double distance = observation.declared - mean_declared;
     covariance += std::clamp(error, -kMaxResidual, kMaxResidual) * distance;
@@ -81,13 +83,13 @@
   std::vector<double> residuals;
   for (std::size_t i = 0; i < kind.count; ++i) {
     const Observation& observation = kind.window.at(i);
-    if (!observation.is_declared) continue;
+    if (std::isnan(observation.declared)) continue;
     residuals.push_back(observation.run - mean_declared - offset - slope * (observation.declared - mean_declared));
   }
-  kind.mean_declared = static_cast<float>(mean_declared);
-  kind.offset = static_cast<float>(offset);
-  kind.slope = static_cast<float>(slope);
-  kind.high = static_cast<float>(Percentile(residuals, kHighPercentile));
+  kind.mean_declared = mean_declared;
+  kind.offset = offset;
+  kind.slope = slope;
+  kind.high = Percentile(residuals, kHighPercentile);
 }
 
 RunTimePrediction RunTimeModel::Predict(const std::string& name, double declared_ms) const {
@@ -95,7 +97,7 @@
   if (found == m_kinds.end()) return {declared_ms, declared_ms};
   const Kind& kind = found->second;
   if (declared_ms <= 0) return {std::exp(kind.mean_run), std::exp(kind.mean_run + kind.undeclared_high)};
-  if (kind.count < kMinObservations) return {declared_ms, declared_ms};
+  if (kind.count < kMinObservations) return {declared_ms, declared_ms * std::exp(kind.early_high)};
   const double log_ms = kind.mean_declared + kind.offset + kind.slope * (std::log(declared_ms) - kind.mean_declared);
   return {std::exp(log_ms), std::exp(log_ms + kind.high)};
 }
--- a/src/placement/run_time_model.h
+++ b/src/placement/run_time_model.h
@@ -52,21 +52,21 @@
  private:
   /// Natural logarithms of times in ms.
   struct Observation {
-    float declared = 0;
-    float run = 0;
-    bool is_declared = false;
+    double declared = 0;  ///< NaN if unknown
+    double run = 0;
   };
 
   struct Kind {
     std::array<Observation, kWindow> window;
     std::size_t count = 0;  ///< observations in the window
     std::size_t next = 0;   ///< index that the next observation overwrites
-    float mean_declared = 0;
-    float mean_run = 0;  ///< of an undeclared task
-    float offset = 0;    ///< of the run time at the mean declared time
-    float slope = 1;     ///< weight of the declared time
-    float high = 0;      ///< 90th percentile of the residuals of the prediction
-    float undeclared_high = 0;
+    double mean_declared = 0;
+    double mean_run = 0;  ///< of an undeclared task
+    double offset = 0;    ///< of the run time at the mean declared time
+    double slope = 1;     ///< weight of the declared time
+    double high = 0;      ///< 90th percentile of the residuals of the prediction
+    double undeclared_high = 0;
+    double early_high = 0;  ///< 90th percentile of the errors of the declared times and of a few exact ones
     std::list<std::string>::iterator lru_position;
   };
 
--- a/src/placement/upstream_speeds.cc
+++ b/src/placement/upstream_speeds.cc
@@ -37,12 +37,16 @@
 constexpr double kNoiseGain = 0.02;
 /// Half of all normally distributed samples deviate by less than this many standard deviations.
 constexpr double kMedianDeviation = 0.6745;
+constexpr double kMinGain = 0.05;
 /// A speed that deviates from the mean by this many standard deviations is reported although the other upstreams are
 /// alike.
 constexpr double kSignificantDeviations = 3.0;
 /// A speed that has changed by more than this share is worth writing for a successor.
 constexpr double kExportedChange = 0.1;
 
+/// Returns which share of its true slowness the estimate of an upstream shows on average.
+double GainOf(double variance) { return std::max(kMinGain, 1 - variance / kInitialVariance); }
+
 }  // namespace
 
 bool UpstreamSpeeds::Observe(const std::string& service_name, const UpstreamId& id, std::int64_t incarnation,
@@ -126,7 +130,8 @@
     double speed = 0;
     double slowness = 0;
     double squared_slowness = 0;
-    double variance = 0;
+    double noise = 0;  // of the estimates, if all upstreams were alike
+    double squared_gain = 0;
   };
   std::unordered_map<std::string, Sums> sums;
   for (const auto& [id, upstream] : m_upstreams) {
@@ -135,14 +140,16 @@
     sum.speed += std::exp(-upstream.slowness);
     sum.slowness += upstream.slowness;
     sum.squared_slowness += upstream.slowness * upstream.slowness;
-    sum.variance += upstream.variance;
+    const double gain = GainOf(upstream.variance);
+    sum.noise += upstream.variance * gain;
+    sum.squared_gain += gain * gain;
   }
   for (const auto& [name, of_service] : sums) {
     Service& service = ServiceOf(name);
     service.mean_slowness = -std::log(of_service.speed / of_service.count);
-    const double mean = of_service.slowness / of_service.count;
-    const double variance = of_service.squared_slowness / of_service.count - mean * mean;
-    service.spread = std::max(0.0, variance - of_service.variance / of_service.count);
+    const double deviations =
+        of_service.squared_slowness - of_service.slowness * of_service.slowness / of_service.count;
+    service.spread = std::max(0.0, (deviations - of_service.noise) / of_service.squared_gain);
   }
   double sum = 0;
   double squared_sum = 0;
@@ -150,9 +157,12 @@
     const Service& service = ServiceOf(upstream.service);
     const double difference = upstream.slowness - service.mean_slowness;
     const bool is_significant = std::abs(difference) > kSignificantDeviations * std::sqrt(upstream.variance);
-    // Where upstreams are alike, differences are noise.
-    const double weight = is_significant ? 1 : service.spread / (service.spread + upstream.variance);
+    // Where upstreams are alike, differences are noise. Where they are not, the estimates of those with few samples are
+    // still close to the mean.
+    const double likely = service.spread / (GainOf(upstream.variance) * service.spread + upstream.variance);
+    const double weight = is_significant ? std::max(1.0, likely) : likely;
     upstream.speed = std::exp(-difference * weight);
+    upstream.low_speed = upstream.speed * std::exp(-std::sqrt(likely * upstream.variance));
     sum += difference * weight;
     squared_sum += difference * difference * weight * weight;
   }
@@ -165,6 +175,13 @@
   return found == m_upstreams.end() ? 1 : found->second.speed;
 }
 
+double UpstreamSpeeds::LowSpeedOf(const std::string& service, const UpstreamId& id) const {
+  const auto found = m_upstreams.find(id);
+  if (found != m_upstreams.end()) return found->second.low_speed;
+  const auto known_service = m_services.find(service);
+  return known_service == m_services.end() ? 1 : std::exp(-std::sqrt(known_service->second.spread));
+}
+
 double UpstreamSpeeds::RunTimeAtMeanSpeed(const std::string& service, const StepRunTime& step) const {
   if (step.variance <= 0) return 0;
   const auto found = m_services.find(service);
--- a/src/placement/upstream_speeds.h
+++ b/src/placement/upstream_speeds.h
@@ -70,6 +70,10 @@
   /// known.
   double SpeedOf(const UpstreamId& upstream) const;
 
+  /// Speed that the upstream exceeds with a probability of about 84%, as of the last refresh: one standard error below
+  /// `SpeedOf`. Where upstreams are alike, that of an unknown one is 1 too.
+  double LowSpeedOf(const std::string& service, const UpstreamId& upstream) const;
+
   /// Returns the run time of a step at mean speed in ms, 0 if nothing is known.
   double RunTimeAtMeanSpeed(const std::string& service, const StepRunTime& step) const;
 
@@ -86,6 +90,7 @@
     double variance = 0;  ///< of `slowness`
     double trend = 0;     ///< running mean of the deviations of samples, in standard deviations
     double speed = 1;     ///< as of the last refresh
+    double low_speed = 1;
     double exported_speed = 1;
   };
 
--- a/src/placement/upstream_speeds_test.cc
+++ b/src/placement/upstream_speeds_test.cc
@@ -95,6 +95,9 @@
   speeds.Refresh();
   EXPECT_NEAR(speeds.SpeedOf(IdOf(0)), 1.0, 0.2);
   EXPECT_EQ(speeds.SpeedOf(UpstreamId("never seen")), 1.0);
+  // Two of three upstreams are slower than the mean.
+  EXPECT_LT(speeds.LowSpeedOf("s", UpstreamId("never seen")), 0.8);
+  EXPECT_EQ(speeds.LowSpeedOf("another service", UpstreamId("never seen")), 1.0);
   speeds.Forget(IdOf(1));
   speeds.Refresh();
   EXPECT_EQ(speeds.SpeedOf(IdOf(1)), 1.0);
