--- a/src/cell/speed_record_test.cc
+++ b/src/cell/speed_record_test.cc
@@ -21,6 +21,7 @@
 // Guards against a transaction that the store rejects because a row is too long.
 TEST(SpeedRecordTest, RowIsBounded) {
   std::vector<LearnedSlowness> speeds;
+  speeds.reserve(3000);
   for (int i = 0; i < 3000; ++i) {
     speeds.push_back({"s", UpstreamId("upstream-" + std::to_string(i)), 1'767'990'076'451, 0.5, 0.01});
   }
--- a/src/instance/cell_speed_test.cc
+++ b/src/instance/cell_speed_test.cc
@@ -37,8 +37,8 @@
   RunMixedSpeedSite(run_times_only, "learned_run_times only");
   const double with_speeds = RunMixedSpeedSite(speeds_only, "upstream_speeds only");
   const double with_both = RunMixedSpeedSite({}, "both on");
-  EXPECT_GT(with_speeds, without + 0.1);
-  EXPECT_GT(with_both, without + 0.1);
+  EXPECT_GT(with_speeds, without + 0.4);
+  EXPECT_GT(with_both, without + 0.4);
 }
 
 /// Speed of an upstream as the leader knows it.
