Bound renewals of unused tickets, and estimate the wait for policy calls by class

Cause: a step whose calls led to no start asked again 120 ms after each reply, without bound. ExpectedWait() counted calls of gangs as a wait for short calls, which have instances of their own, and left out the part for each upstream.

Change: from the third call for a start in a row without a task placed, the pause is 240 ms. Short and long calls are counted apart, each by the expected number of upstreams. New gauge jaymast_expected_policy_wait_seconds. The load simulation reports calls and their duration by queue.

--- a/src/cell/policy_call_planner.cc
+++ b/src/cell/policy_call_planner.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <numbers>
 
+#include "cell/policy_call_dispatcher.h"
+
 namespace jaymast {
 namespace {
 
@@ -13,6 +15,7 @@
 constexpr double kAllowedShareWeight = 0.1;
 /// Share of the slots that are still free when the reply arrives, as other work is placed during the call.
 constexpr double kSlotsLeftAfterCall = 0.8;
+constexpr Duration kMinRenewalDelay{120'000};
 /// Bounds of the margin in standard deviations. Below the mean every second call would be in vain.
 constexpr double kMinDeviations = 0.5;
 constexpr double kMaxDeviations = 2.5;
@@ -66,16 +69,29 @@
   return bound;
 }
 
-void PolicyCallPlanner::SetLoad(std::size_t callers, double queued_ms) {
+Duration PolicyCallPlanner::RenewalDelay(int unused_calls) {
+  // Other work often takes the capacity that the first two calls were made for.
+  constexpr int kCallsBeforeDelay = 2;
+  return unused_calls > kCallsBeforeDelay ? kMaxRenewalDelay : kMinRenewalDelay;
+}
+
+double PolicyCallPlanner::ExpectedCallMs(const QueueId& queue, const PolicyConfig& policy, std::int64_t tasks) const {
+  const double upstreams = static_cast<double>(tasks) / AllowedShare(queue);
+  return policy.call_ms + policy.per_upstream_ms * std::min(upstreams, static_cast<double>(kMaxUpstreams));
+}
+
+void PolicyCallPlanner::SetLoad(std::size_t callers, const Queued& queued) {
   m_callers = callers;
-  m_queued_ms = queued_ms;
+  m_queued = queued;
 }
 
 Duration PolicyCallPlanner::ExpectedWait(double call_ms) const {
-  if (m_queued_ms <= 0) return Duration::zero();
-  const double callers = static_cast<double>(std::max<std::size_t>(1, m_callers));
-  // An instance becomes free after half a call on average when all are busy.
-  return Duration(static_cast<std::int64_t>(1000 * (m_queued_ms + call_ms / 2) / callers));
+  const bool is_short = call_ms <= static_cast<double>(PolicyCallDispatcher::kMaxShortCallMs);
+  const double queued_ms = is_short ? m_queued.short_ms : m_queued.long_ms;
+  if (queued_ms <= 0) return Duration::zero();
+  const auto callers = static_cast<double>(std::max<std::size_t>(1, m_callers));
+  // Calls that are open end half a call from now on average, at the rate of all callers.
+  return Duration(static_cast<std::int64_t>(1000 * (queued_ms + call_ms / 2) / callers));
 }
 
 }  // namespace jaymast
--- a/src/cell/policy_call_planner.h
+++ b/src/cell/policy_call_planner.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "jobs/cell_config.h"
 #include "jobs/job_spec.h"
 
 namespace jaymast {
@@ -44,19 +45,31 @@
   /// further one if too few are allowed. At most `kMaxUpstreams`.
   static std::size_t CountToName(const Need& need, const std::vector<Offer>& offers);
 
+  /// Delay after a reply before the next call for the same step. Longer from the third call in a row after which
+  /// no task of the step was placed, up to `kMaxRenewalDelay`.
+  static Duration RenewalDelay(int unused_calls);
+
+  /// Calls for which no instance was free in a pass, as expected durations.
+  struct Queued {
+    double short_ms = 0;  ///< up to PolicyCallDispatcher::kMaxShortCallMs; wait only for each other
+    double long_ms = 0;
+  };
+  /// Expected duration of a call for all tasks of a step.
+  double ExpectedCallMs(const QueueId& queue, const PolicyConfig& policy, std::int64_t tasks) const;
   /// Sets the load for ExpectedWait().
   /// @param callers instances that can make long calls
-  /// @param queued_ms expected duration of all calls for which no instance was free
-  void SetLoad(std::size_t callers, double queued_ms);
+  void SetLoad(std::size_t callers, const Queued& queued);
   /// How long a new step would wait until an instance is free for a call of `call_ms`; zero while instances are free.
   Duration ExpectedWait(double call_ms) const;
 
+  /// Longer pauses save calls, but gangs then miss capacity that becomes free.
+  static constexpr Duration kMaxRenewalDelay{240'000};
   static constexpr std::size_t kMaxUpstreams = 100;  ///< limit of the policy service
 
  private:
   std::map<QueueId, double> m_allowed_share;  ///< running mean
   std::size_t m_callers = 0;
-  double m_queued_ms = 0;
+  Queued m_queued;
 };
 
 }  // namespace jaymast
--- a/src/cell/policy_call_planner_test.cc
+++ b/src/cell/policy_call_planner_test.cc
@@ -86,18 +86,37 @@
   EXPECT_GT(planner.AllowedShare(queue), 0);
 }
 
+// Guards against steps that renew their tickets without bound although no task gets an upstream, and against a pause
+// that leaves a step idle for 3 s.
+TEST(PolicyCallPlannerTest, RenewalsAreBoundedByUse) {
+  EXPECT_EQ(PolicyCallPlanner::RenewalDelay(0), PolicyCallPlanner::RenewalDelay(2));
+  EXPECT_GT(PolicyCallPlanner::RenewalDelay(3), PolicyCallPlanner::RenewalDelay(2));
+  EXPECT_LE(PolicyCallPlanner::RenewalDelay(1000), std::chrono::seconds(1));
+}
+
 // Guards against admission that expects no wait while calls queue, or a wait while instances are free.
 TEST(PolicyCallPlannerTest, ExpectedWaitGrowsWithQueuedCalls) {
   PolicyCallPlanner planner;
   EXPECT_EQ(planner.ExpectedWait(455), Duration::zero());
-  planner.SetLoad(28, 28 * 600.0);
+  planner.SetLoad(28, {0, 28 * 600.0});
   EXPECT_GE(planner.ExpectedWait(455), Duration(600'000));
   EXPECT_LT(planner.ExpectedWait(455), Duration(1'000'000));
-  planner.SetLoad(0, 100);
+  // Urgent steps have short calls, for which instances are reserved.
+  EXPECT_EQ(planner.ExpectedWait(14.3), Duration::zero());
+  planner.SetLoad(0, {0, 100});
   EXPECT_GT(planner.ExpectedWait(455), Duration::zero());
-  planner.SetLoad(28, 0);
+  planner.SetLoad(28, {});
   EXPECT_EQ(planner.ExpectedWait(455), Duration::zero());
 }
 
+// Guards against an expected duration of a call without the part for each upstream.
+TEST(PolicyCallPlannerTest, ExpectedCallCountsUpstreams) {
+  PolicyCallPlanner planner;
+  const QueueId queue("gangs");
+  const PolicyConfig policy{455, 6.5, 2500};
+  EXPECT_NEAR(planner.ExpectedCallMs(queue, policy, 20), 455 + 6.5 * 20 / planner.AllowedShare(queue), 1);
+  EXPECT_NEAR(planner.ExpectedCallMs(queue, policy, 10'000), 455 + 6.5 * 100, 1);
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/cell/scheduler_policy.cc
+++ b/src/cell/scheduler_policy.cc
@@ -16,8 +16,6 @@
 constexpr double kRequestedCapacityFactorGang = 2.0;
 constexpr std::size_t kMinRequestedUpstreams = 8;
 constexpr std::size_t kMaxRequestedUpstreams = PolicyCallPlanner::kMaxUpstreams;
-/// Delay after a reply before the next request for the same step.
-constexpr Duration kPolicyRequestInterval{120'000};
 /// A step for which nothing runs may make a second call this long after the expected reply to the first.
 constexpr Duration kPolicyOverdueMargin{400'000};
 /// One in this many policy calls goes to the step that has waited longest, if nothing of it has run for this time.
@@ -185,6 +183,10 @@
         OnPolicyReply(step_key, request, sent_at, policy_reply);
       });
   if (!is_sent) return false;
+  const bool was_used = step.waiting < step.waiting_at_policy_call;
+  const bool is_start = purpose == PolicyCallDispatcher::Purpose::kStart;
+  step.unused_policy_calls = was_used ? 0 : step.unused_policy_calls + (is_start ? 1 : 0);
+  step.waiting_at_policy_call = step.waiting;
   ++step.open_policy_calls;
   step.policy_call_overdue_at = m_now + std::chrono::milliseconds(request.expected_ms) + kPolicyOverdueMargin;
   return true;
@@ -248,7 +250,7 @@
   }
   // CPU that steps with open calls are about to take.
   std::int64_t claimed_cpu = 0;
-  double queued_ms = 0;
+  PolicyCallPlanner::Queued queued;
   std::vector<const StepRef*> deferred;
   auto urgent = steps.begin();
   auto waiting = longest_waiting.begin();
@@ -264,7 +266,9 @@
     if (!MayCallPolicy(step)) continue;
     const PolicyConfig& policy_config = *QueueOf(*ref.job)->policy;
     if (!m_policy_calls.CanCall(static_cast<std::int64_t>(policy_config.call_ms))) {
-      if (!is_waiting) queued_ms += policy_config.call_ms;
+      const bool is_short = policy_config.call_ms <= static_cast<double>(PolicyCallDispatcher::kMaxShortCallMs);
+      double& queued_ms = is_short ? queued.short_ms : queued.long_ms;
+      if (!is_waiting) queued_ms += m_policy_planner.ExpectedCallMs(ref.job->queue, policy_config, step.waiting);
       continue;
     }
     const Resources needed = spec.is_gang ? spec.total_demand() : spec.demand;
@@ -297,7 +301,7 @@
     claimed_cpu += demand_cpu;
     m_calls_since_longest_waiting = is_turn_of_waiting ? 0 : m_calls_since_longest_waiting + 1;
   }
-  m_policy_planner.SetLoad(m_policy_calls.CountLongCallers(), queued_ms);
+  m_policy_planner.SetLoad(m_policy_calls.CountLongCallers(), queued);
   for (const StepRef* ref : deferred) PrefetchDecisions(*ref);
 }
 
@@ -340,7 +344,8 @@
   if (job == nullptr || FindTask(step_key) == nullptr) return;
   StepState& step = StepOf(*job, step_key);
   --step.open_policy_calls;
-  step.next_policy_call_at = m_now + kPolicyRequestInterval;
+  const bool is_planned = m_ports.options.IsOn(CellFeature::kPolicyPlanning);
+  step.next_policy_call_at = m_now + PolicyCallPlanner::RenewalDelay(is_planned ? step.unused_policy_calls : 0);
   const QueueConfig* queue = QueueOf(*job);
   if (!policy_reply.is_answered || queue == nullptr || !queue->policy) return;
   ApplyDecisions(step, *queue, request, policy_reply);
--- a/src/cell_testing/fake_policy_service.h
+++ b/src/cell_testing/fake_policy_service.h
@@ -27,6 +27,7 @@
   /// @param done called once with the reply, unless the reply is lost
   void Call(const std::string& caller, const PolicyRequest& request, std::function<void(PolicyReply)> done) {
     ++calls;
+    if (on_call) on_call(request);
     Line& line = m_lines[caller];
     if (line.waiting.size() >= kMaxWaitingCalls) {
       ++refused_calls;
@@ -64,6 +65,7 @@
   std::int64_t ticket_ms = 2000;
   std::function<bool()> loses_reply;
   std::function<Duration()> extra_delay;  ///< by which the handling of a call exceeds its regular time
+  std::function<void(const PolicyRequest&)> on_call;
   std::function<std::int64_t(const UpstreamId&)> incarnation_of;  ///< 0 if there is no such upstream
   int calls = 0;
   int refused_calls = 0;
--- a/src/cell_testing/policy_load_simulation.h
+++ b/src/cell_testing/policy_load_simulation.h
@@ -35,6 +35,8 @@
     int accepted = 0;
     int in_time = 0;
     int within_three_times = 0;  ///< complete within three times the objective, and not in time
+    int calls = 0;               ///< to the policy service
+    std::int64_t called_ms = 0;  ///< expected duration of all calls
   };
 
   explicit PolicyLoadSimulation(const Settings& settings)
@@ -50,6 +52,11 @@
     for (const auto& upstream : m_cluster.fake_upstreams) upstream->listing().capacity.memory_mb = kUpstreamMemoryMb;
     m_cluster.policy_service.allowed_share = settings.allowed_share;
     m_cluster.policy_service.ticket_ms = kTicketMs;
+    m_cluster.policy_service.on_call = [this](const PolicyRequest& request) {
+      Count& count = counts[m_queue_of_job.at(request.job.value())];
+      ++count.calls;
+      count.called_ms += request.expected_ms;
+    };
     m_cluster.Run(std::chrono::seconds(2));
   }
 
@@ -85,8 +92,9 @@
   std::string Report() const {
     std::string text = fmt::format("value {:.3f}, {} calls", Value(), calls_while_submitting);
     for (const auto& [queue, count] : counts) {
-      text += fmt::format("; {}: {} submitted, {} accepted, {} in time, {} within three times", queue, count.submitted,
-                          count.accepted, count.in_time, count.within_three_times);
+      text += fmt::format("; {}: {} submitted, {} accepted, {} in time, {} within three times, {} calls of {:.0f} s",
+                          queue, count.submitted, count.accepted, count.in_time, count.within_three_times, count.calls,
+                          static_cast<double>(count.called_ms) / 1000);
     }
     return text;
   }
@@ -168,6 +176,7 @@
                                kind.is_gang ? " gang" : ""),
                    fmt::format("key{}", m_random() % kTeams));
     ++counts[kind.queue].submitted;
+    m_queue_of_job[id] = kind.queue;
     m_open.push_back(
         {id, kind.queue, m_cluster.queue.now(),
          Duration(static_cast<std::int64_t>(1000.0 * kind.stretch * static_cast<double>(steps * run_ms)))});
@@ -207,6 +216,7 @@
   SimulatedCluster m_cluster;
   std::uint64_t m_submitted = 0;
   std::vector<OpenJob> m_open;
+  std::map<std::string, std::string> m_queue_of_job;
 };
 
 }  // namespace jaymast
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -397,6 +397,8 @@
   gauges["jaymast_waiting_steps"] = static_cast<double>(scheduler.waiting_steps());
   gauges["jaymast_open_policy_calls"] = static_cast<double>(scheduler.policy_calls().CountOpenCalls());
   gauges["jaymast_blocked_policy_callers"] = static_cast<double>(scheduler.policy_calls().CountBlockedCallers());
+  gauges["jaymast_expected_policy_wait_seconds"] =
+      std::chrono::duration<double>(scheduler.policy_planner().ExpectedWait(0)).count();
   gauges["jaymast_followers"] = static_cast<double>(m_followers.size());
   return gauges;
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -85,9 +85,11 @@
   std::map<UpstreamId, Ticket> tickets;         ///< of the upstreams that may run the step
   std::map<UpstreamId, bool> policy_decisions;  ///< whether each upstream asked about may run it
   int open_policy_calls = 0;
-  Time next_policy_call_at{};     ///< earliest next call to the policy service
-  Time policy_call_overdue_at{};  ///< when the open call should have been answered
-  bool can_fit_later = true;      ///< whether the usable upstreams could hold waiting tasks, as last checked
+  Time next_policy_call_at{};               ///< earliest next call to the policy service
+  Time policy_call_overdue_at{};            ///< when the open call should have been answered
+  std::int64_t waiting_at_policy_call = 0;  ///< tasks without an upstream at the last call
+  int unused_policy_calls = 0;  ///< calls for a start in a row, up to the last one, without a task placed since
+  bool can_fit_later = true;    ///< whether the usable upstreams could hold waiting tasks, as last checked
   Time next_fit_check_at{};
   Time idle_since{};           ///< since when its turn has come and nothing of it has run, zero if something runs
   Time next_wait_report_at{};  ///< earliest next event about the wait
