--- a/src/cell/cell_options.h
+++ b/src/cell/cell_options.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <set>
 #include <string_view>
+#include <vector>
 
 #include "base/enum_names.h"
 #include "base/result.h"
@@ -24,14 +25,16 @@
                                                              "admission_by_cause"};
 };
 
+/// The features that are off by default did not serve callers better on deployments with upstreams of equal speed.
 struct CellOptions {
-  std::set<CellFeature> disabled;
+  std::set<CellFeature> disabled = {CellFeature::kLearnedRunTimes, CellFeature::kPolicyPlanning};
 
+  static CellOptions AllOn() { return CellOptions{std::set<CellFeature>{}}; }
   bool IsOn(CellFeature feature) const { return !disabled.contains(feature); }
 };
 
-/// Parses the names of features to disable, separated by commas.
-/// @return the options, or an error that names the unknown feature and lists the known ones
-Result<CellOptions> ParseDisabledFeatures(std::string_view names);
+/// Parses pairs of arguments: --enable or --disable, and names of features separated by commas. Later ones win.
+/// @return the options, or an error that names the unknown argument or feature and lists the known ones
+Result<CellOptions> ParseCellOptions(const std::vector<std::string_view>& arguments);
 
 }  // namespace jaymast
--- a/src/instance/cell_policy_calls_test.cc
+++ b/src/instance/cell_policy_calls_test.cc
@@ -25,7 +25,7 @@
 // scarce.
 // Guards against calls for steps that can't start, which take the instances from those that can.
 TEST(CellPolicyCallsTest, PlanningUsesFewerCallsAndServesMoreInTime) {
-  const auto planned = RunLoad({});
+  const auto planned = RunLoad(CellOptions::AllOn());
   const auto unplanned = RunLoad({{CellFeature::kPolicyPlanning}});
   std::cout << "policy_planning on:  " << planned->Report() << "\n";
   std::cout << "policy_planning off: " << unplanned->Report() << "\n";
--- a/src/instance/cell_run_time_test.cc
+++ b/src/instance/cell_run_time_test.cc
@@ -62,7 +62,7 @@
 // Guards against an order by the clock alone, in which a job that can't be in time any more delays one that can until
 // that is late too.
 TEST(CellRunTimeTest, JobThatCanBeInTimeComesBeforeOneThatCannot) {
-  EXPECT_TRUE(RunsAttainableJobFirst({}));
+  EXPECT_TRUE(RunsAttainableJobFirst(CellOptions::AllOn()));
   CellOptions off;
   off.disabled = {CellFeature::kLearnedRunTimes};
   EXPECT_FALSE(RunsAttainableJobFirst(off));
--- a/src/instance/cell_speed_test.cc
+++ b/src/instance/cell_speed_test.cc
@@ -36,7 +36,7 @@
   const double without = RunMixedSpeedSite(off, "both off");
   RunMixedSpeedSite(run_times_only, "learned_run_times only");
   const double with_speeds = RunMixedSpeedSite(speeds_only, "upstream_speeds only");
-  const double with_both = RunMixedSpeedSite({}, "both on");
+  const double with_both = RunMixedSpeedSite(CellOptions::AllOn(), "both on");
   EXPECT_GT(with_speeds, without + 0.4);
   EXPECT_GT(with_both, without + 0.4);
 }
--- a/src/placement/upstream_speeds.cc
+++ b/src/placement/upstream_speeds.cc
@@ -41,6 +41,11 @@
 /// A speed that deviates from the mean by this many standard deviations is reported although the other upstreams are
 /// alike.
 constexpr double kSignificantDeviations = 3.0;
+/// Variance of the slowness among upstreams, without that of the estimates, below which they count as alike: placement
+/// by differences of less than a fifth would follow noise and fill upstreams less well.
+constexpr double kMinSpread = 0.04;
+/// Least deviation of a single upstream from others that are alike.
+constexpr double kMinOutlier = 0.4;
 /// A speed that has changed by more than this share is worth writing for a successor.
 constexpr double kExportedChange = 0.1;
 
@@ -156,10 +161,13 @@
   for (auto& [id, upstream] : m_upstreams) {
     const Service& service = ServiceOf(upstream.service);
     const double difference = upstream.slowness - service.mean_slowness;
-    const bool is_significant = std::abs(difference) > kSignificantDeviations * std::sqrt(upstream.variance);
+    const bool are_alike = service.spread < kMinSpread;
+    const double least = std::max(are_alike ? kMinOutlier : 0.0, kSignificantDeviations * std::sqrt(upstream.variance));
+    const bool is_significant = std::abs(difference) > least;
     // Where upstreams are alike, differences are noise. Where they are not, the estimates of those with few samples are
     // still close to the mean.
-    const double likely = service.spread / (GainOf(upstream.variance) * service.spread + upstream.variance);
+    const double likely =
+        are_alike ? 0 : service.spread / (GainOf(upstream.variance) * service.spread + upstream.variance);
     const double weight = is_significant ? std::max(1.0, likely) : likely;
     upstream.speed = std::exp(-difference * weight);
     upstream.low_speed = upstream.speed * std::exp(-std::sqrt(likely * upstream.variance));
@@ -179,7 +187,8 @@
   const auto found = m_upstreams.find(id);
   if (found != m_upstreams.end()) return found->second.low_speed;
   const auto known_service = m_services.find(service);
-  return known_service == m_services.end() ? 1 : std::exp(-std::sqrt(known_service->second.spread));
+  if (known_service == m_services.end() || known_service->second.spread < kMinSpread) return 1;
+  return std::exp(-std::sqrt(known_service->second.spread));
 }
 
 double UpstreamSpeeds::RunTimeAtMeanSpeed(const std::string& service, const StepRunTime& step) const {
