Hold calls that may have run until the next leader decides them

Callers got 504 for calls whose leader had been killed, 1.3 s after it was last known, and can't repeat such a call, although a new leader was up shortly after.

Cause: the relay gave up all calls at once when no leader was known for 1.3 s.

Change: only calls that certainly have not run are refused then. The others are sent to the next leader, which knows the job or decides on the call, or end at their deadline.

--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -67,8 +67,9 @@
   m_now = now;
   const std::vector<CallPtr> calls(m_calls.begin(), m_calls.end());
   for (const CallPtr& call : calls) {
+    // The next leader can still tell what became of a call that may have run, and its client could not repeat it.
     const bool is_leader_missing =
-        !m_is_leader_known && now - m_leader_known_at > kNoLeaderTimeout && !call->is_attempt_pending;
+        !m_is_leader_known && now - m_leader_known_at > kNoLeaderTimeout && !MayHaveRun(*call);
     if (now >= call->deadline || is_leader_missing) {
       FailCall(call);
     } else if (!call->is_attempt_pending && m_is_leader_known && now >= call->next_attempt) {
@@ -77,10 +78,13 @@
   }
 }
 
-void Relay::FailCall(const CallPtr& call) {
+bool Relay::MayHaveRun(const Call& call) {
   // An attempt without a result may have been received, possibly by an earlier leader.
-  const bool may_have_run = call->may_have_run || call->unresolved_attempts > 0;
-  Finish(call, m_ports.encode_failure(call->request, m_now - call->received_at, may_have_run));
+  return call.may_have_run || call.unresolved_attempts > 0;
+}
+
+void Relay::FailCall(const CallPtr& call) {
+  Finish(call, m_ports.encode_failure(call->request, m_now - call->received_at, MayHaveRun(*call)));
 }
 
 void Relay::Finish(const CallPtr& call, HttpResponse response) {
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -63,6 +63,7 @@
   using CallPtr = std::shared_ptr<Call>;
 
   void SendAttempt(const CallPtr& call, Time now);
+  static bool MayHaveRun(const Call& call);
   void FailCall(const CallPtr& call);
   void Finish(const CallPtr& call, HttpResponse response);
 
--- a/src/instance/relay_test.cc
+++ b/src/instance/relay_test.cc
@@ -76,6 +76,24 @@
   EXPECT_EQ(m_statuses, std::vector<int>{kMayHaveRun});
 }
 
+// Guards against an unknown outcome for a call that the leader may have received before it crashed, although the next
+// leader, which knows, appears before the deadline of the call.
+TEST_F(RelayTest, CallThatMayHaveRunIsDecidedByNextLeader) {
+  Tick(milliseconds(10));
+  Call();
+  m_sent_attempts[0].done({false, true, false, {}});
+  m_is_leader_known = false;
+  for (int i = 0; i < 20; ++i) Tick(milliseconds(100));
+  EXPECT_TRUE(m_statuses.empty());
+  m_is_leader_known = true;
+  m_leader = "b";
+  m_epoch = 2;
+  Tick(milliseconds(100));
+  ASSERT_EQ(m_sent_attempts.size(), 2U);
+  m_sent_attempts[1].done(Response(kOk));
+  EXPECT_EQ(m_statuses, std::vector<int>{kOk});
+}
+
 // Guards against "not run" while an attempt at an earlier leader, which may have stored the job, is pending.
 TEST_F(RelayTest, PendingAttemptAtEarlierLeaderMayHaveRun) {
   Tick(milliseconds(10));
