--- a/src/cell/cell_options.h
+++ b/src/cell/cell_options.h
@@ -13,7 +13,7 @@
 /// Mechanisms of the cell that can be switched off, to compare deployments with and without them or to work around a
 /// fault.
 enum class CellFeature {
-  kLearnedRunTimes,   ///< expects the run times of finished tasks instead of the declared ones
+  kLearnedRunTimes,   ///< orders steps and sets objectives by learned run times, which admission uses in any case
   kUpstreamSpeeds,    ///< places tasks by the learned speeds of upstreams
   kPolicyPlanning,    ///< gives out policy calls by what they cost and how many tasks can start
   kAdmissionByCause,  ///< counts only work that waits for capacity as a queue before a new job
