--- a/src/cell/cell_feeds.h
+++ b/src/cell/cell_feeds.h
@@ -5,6 +5,7 @@
 
 #include "base/id.h"
 #include "base/time.h"
+#include "cell/feed_topic.h"
 #include "jobs/cell_config.h"
 #include "jobs/upstream_listing.h"
 
@@ -15,8 +16,8 @@
  public:
   virtual ~FeedListener() = default;
   virtual void OnConfig(std::shared_ptr<const CellConfig> config) = 0;
-  /// Everything reported so far is current as of this time.
-  virtual void OnConfigCurrent(Time as_of) = 0;
+  /// Everything reported so far on the topic was current at this time.
+  virtual void OnTopicCurrent(FeedTopic topic, Time as_of) = 0;
   virtual void OnDomainsOutOfService(std::set<DomainId> domains) = 0;
   virtual void OnUpstreamListed(UpstreamListing listing) = 0;
   virtual void OnUpstreamUnlisted(const UpstreamId& id) = 0;
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -16,6 +16,7 @@
 #include "cell/cell_event_sink.h"
 #include "cell/cell_options.h"
 #include "cell/client_call.h"
+#include "cell/feed_freshness.h"
 #include "cell/group_committer.h"
 #include "cell/lease_record.h"
 #include "cell/policy_call_dispatcher.h"
@@ -75,8 +76,8 @@
 
   // Changes from the platform.
   void OnConfig(std::shared_ptr<const CellConfig> config);
-  /// The configuration is current as of this time.
-  void OnConfigCurrent(Time now) { m_config_current_at = now; }
+  /// What was reported on the topic was current at this time.
+  void OnTopicCurrent(FeedTopic topic, Time as_of) { m_freshness.Confirm(topic, as_of); }
   void OnDomainsOutOfService(std::set<DomainId> domains);
   void OnUpstreamListed(UpstreamListing listing);
   void OnUpstreamUnlisted(const UpstreamId& id);
@@ -108,6 +109,12 @@
   /// Pairs of a waiting step and an upstream that placement has examined, which its processor time grows with.
   std::uint64_t placement_checks() const { return m_placement_checks; }
   std::size_t CountUnacknowledgedEnds() const;
+  const FeedFreshness& freshness() const { return m_freshness; }
+  /// Actions that wait for a transaction, over all jobs.
+  std::size_t CountCommitCallbacks() const;
+  std::size_t postponed_starts() const { return m_postponed_starts.size(); }
+  /// Bytes of the changed records that wait for the next transaction.
+  std::size_t pending_record_bytes() const { return m_log.pending_bytes(); }
   /// Longest time for which nothing of a step has run although its turn has come, as of the last placement pass.
   Duration longest_wait() const { return m_longest_wait; }
   /// Steps with waiting tasks, as of the last placement pass.
@@ -155,6 +162,8 @@
   TaskState* FindTask(const TaskKey& key);
   static StepState& StepOf(Job& job, const TaskKey& key) { return job.occurrences.at(key.occurrence).steps[key.step]; }
   const QueueConfig* QueueOf(const Job& job) const;
+  /// Age of what the feeds have reported on the topic, for events.
+  std::string AgeMs(FeedTopic topic) const { return std::to_string(ToMillis(m_freshness.AgeAt(topic, m_now))); }
   void MarkChanged(Job& job);
   /// Like MarkChanged(job), for a change that the record of one occurrence shows.
   void MarkChanged(Job& job, std::size_t occurrence);
@@ -378,7 +387,7 @@
   LeadershipStatus m_leadership;
   std::shared_ptr<const CellConfig> m_config;
   std::map<QueueId, QueueConfig> m_known_queues;  ///< includes queues removed in this term
-  Time m_config_current_at{};
+  FeedFreshness m_freshness;
   std::set<DomainId> m_domains_out_of_service;
   std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<JobId, Job*> m_active;    ///< jobs that have not ended
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -106,7 +106,7 @@
 }
 
 void Scheduler::Decide(const ClientCall& call, const ClientReplyFunction& reply) {
-  const bool is_config_fresh = m_config != nullptr && m_now - m_config_current_at <= kMaxConfigAge;
+  const bool is_config_fresh = m_config != nullptr && m_freshness.AgeAt(FeedTopic::kConfiguration, m_now) <= kMaxConfigAge;
   const bool is_confirmed = m_now - m_leadership.confirmed_at <= kMaxUnconfirmed;
   if (m_config == nullptr) return reply({ClientOutcome::kUnavailable, {}, 0, 1});
   const QueueConfig* queue = m_config->FindQueue(call.host, call.path);
@@ -147,7 +147,10 @@
   if (call.action == ClientAction::kSubmit && job == nullptr) {
     if (m_leadership.is_store_stalled && !m_leadership.is_store_unavailable) return reply({ClientOutcome::kNotLeader});
     if (!is_config_fresh || m_leadership.is_store_unavailable) {
-      m_ports.events.Emit("job.refused", {{"job", id.value()}, {"reason", "store does not answer"}});
+      m_ports.events.Emit("job.refused", {{"job", id.value()},
+                                          {"reason", "store does not answer"},
+                                          {"config_version", std::to_string(m_config->version)},
+                                          {"config_age_ms", AgeMs(FeedTopic::kConfiguration)}});
       return reply({ClientOutcome::kUnavailable, {}, 0, OutageRetryAfterS(queue->priority)});
     }
     return Submit(call, *queue, id, team, reply);
@@ -209,7 +212,11 @@
   WhenCommitted(accepted, [reply] { reply({ClientOutcome::kAccepted}); });
   if (!OpenDueOccurrences(accepted)) m_unopened[id] = &accepted;
   if (is_immediate) CountAcceptedWork(accepted, queue);
-  m_ports.events.Emit("job.accepted", {{"job", id.value()}, {"queue", queue.id.value()}, {"team", team.value()}});
+  m_ports.events.Emit("job.accepted", {{"job", id.value()},
+                                       {"queue", queue.id.value()},
+                                       {"team", team.value()},
+                                       {"config_version", std::to_string(m_config->version)},
+                                       {"config_age_ms", AgeMs(FeedTopic::kConfiguration)}});
 }
 
 AdmissionDecision Scheduler::DecideAdmission(Job& job, const QueueConfig& queue) {
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -217,7 +217,8 @@
     m_ports.events.Emit("task.started", {{"task", FormatTaskKey(key)},
                                          {"run", std::to_string(run)},
                                          {"upstream", task->upstream.value()},
-                                         {"after_ms", std::to_string(ToMillis(m_now - job.accepted))}});
+                                         {"after_ms", std::to_string(ToMillis(m_now - job.accepted))},
+                                         {"list_age_ms", AgeMs(FeedTopic::kUpstreams)}});
     task->phase = TaskPhase::kRunning;
     task->confirmed_at = m_now;
     task->progressed_at = m_now;
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -110,6 +110,12 @@
   return count;
 }
 
+std::size_t Scheduler::CountCommitCallbacks() const {
+  std::size_t count = 0;
+  for (const auto& [id, job] : m_active) count += job->commit_callbacks.size();
+  return count;
+}
+
 void Scheduler::ResendDueStops(UpstreamState& upstream) {
   upstream.next_stop = Time::max();
   for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) {
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -311,7 +311,9 @@
         listed.insert(upstream->listing().id);
       }
       m_listener.OnUpstreamListComplete(listed);
-      m_listener.OnConfigCurrent(now);
+      for (const FeedTopic topic : {FeedTopic::kConfiguration, FeedTopic::kUpstreams, FeedTopic::kDomains}) {
+        m_listener.OnTopicCurrent(topic, now);
+      }
     }
 
    private:
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -439,6 +439,13 @@
   }
   const Scheduler& scheduler = m_term->scheduler();
   gauges["jaymast_unconfirmed_seconds"] = seconds_since(m_term->committer().confirmed_at());
+  for (const FeedTopic topic : {FeedTopic::kConfiguration, FeedTopic::kUpstreams, FeedTopic::kDomains}) {
+    const Duration age = scheduler.freshness().AgeAt(topic, m_now);
+    gauges["jaymast_" + std::string(ToString(topic)) + "_age_seconds"] = std::chrono::duration<double>(age).count();
+  }
+  gauges["jaymast_commit_callbacks"] = static_cast<double>(scheduler.CountCommitCallbacks());
+  gauges["jaymast_postponed_starts"] = static_cast<double>(scheduler.postponed_starts());
+  gauges["jaymast_pending_record_bytes"] = static_cast<double>(scheduler.pending_record_bytes());
   gauges["jaymast_active_jobs"] = static_cast<double>(scheduler.active_jobs());
   gauges["jaymast_known_jobs"] = static_cast<double>(scheduler.known_jobs());
   gauges["jaymast_uncommitted_jobs"] = static_cast<double>(scheduler.uncommitted_jobs());
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -47,7 +47,7 @@
 
   // FeedListener
   void OnConfig(std::shared_ptr<const CellConfig> config) override;
-  void OnConfigCurrent(Time as_of) override { m_scheduler.OnConfigCurrent(as_of); }
+  void OnTopicCurrent(FeedTopic topic, Time as_of) override { m_scheduler.OnTopicCurrent(topic, as_of); }
   void OnDomainsOutOfService(std::set<DomainId> domains) override {
     m_scheduler.OnDomainsOutOfService(std::move(domains));
   }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,18 +15,22 @@
   Shared(IoPool& io_pool, HttpClientOptions client_options)
       : pool(io_pool),
         options(std::move(client_options)),
-        budget(std::make_shared<MemoryBudget>(options.max_held_bytes)) {}
+        budget(std::make_shared<MemoryBudget>(options.max_held_bytes)),
+        last_received(std::make_shared<HttpClientHost::ReceiveTime>()) {}
 
   std::shared_ptr<HttpClientHost> Host(const std::string& address) {
     const std::lock_guard lock(mutex);
     std::shared_ptr<HttpClientHost>& host = hosts[address];
-    if (host == nullptr) host = std::make_shared<HttpClientHost>(pool.Context(next++), address, options, budget);
+    if (host == nullptr) {
+      host = std::make_shared<HttpClientHost>(pool.Context(next++), address, options, budget, last_received);
+    }
     return host;
   }
 
   IoPool& pool;
   const HttpClientOptions options;
   const std::shared_ptr<MemoryBudget> budget;
+  const std::shared_ptr<HttpClientHost::ReceiveTime> last_received;
   std::mutex mutex;  ///< guards hosts and next
   std::unordered_map<std::string, std::shared_ptr<HttpClientHost>> hosts;
   std::size_t next = 0;
@@ -37,6 +41,8 @@
 
 HttpClient::~HttpClient() = default;
 
+std::chrono::steady_clock::time_point HttpClient::last_received() const { return m_shared->last_received->load(); }
+
 std::size_t HttpClient::held_bytes() const { return m_shared->budget->held_bytes(); }
 
 std::uint64_t HttpClient::evicted_responses() const { return m_shared->budget->evicted(); }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -31,8 +31,9 @@
 
 struct HttpResult {
   SendStatus status = SendStatus::kUnknown;
-  HttpResponse response;  ///< set if the status is kAnswered
-  std::string reason;     ///< why there is no response
+  HttpResponse response;           ///< set if the status is kAnswered
+  std::string reason;              ///< why there is no response
+  std::size_t received_bytes = 0;  ///< of the response, also if the rest of it is missing
 };
 
 struct HttpClientOptions {
@@ -71,6 +72,9 @@
   /// Sends the request that `make_request` creates on an I/O thread, so that the calling thread does not encode it.
   void Send(const std::string& address, std::function<HttpRequest()> make_request, Deadline deadline, Callback done);
 
+  /// When a part of any response arrived last, the epoch of the clock if none has.
+  std::chrono::steady_clock::time_point last_received() const;
+
   /// Bytes of the responses that are being read.
   std::size_t held_bytes() const;
   /// Number of responses that were given up because all together exceeded max_held_bytes.
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -83,6 +83,7 @@
 
   void Send(const std::shared_ptr<PendingRequest>& pending) override {
     pending->connection = this->weak_from_this();
+    m_received_bytes = 0;
     m_request = ToMessage(std::move(pending->request), m_address);
     // The deadline timer of the request covers writing and reading.
     Lowest().expires_never();
@@ -117,6 +118,8 @@
 
   std::chrono::steady_clock::time_point idle_since() const override { return m_idle_since; }
 
+  std::size_t received_bytes() const override { return m_received_bytes; }
+
  private:
   static constexpr bool kIsTls = !std::is_same_v<Stream, tcp_stream>;
   static constexpr std::size_t kReadChunkBytes = 8192;
@@ -158,7 +161,9 @@
 
   /// Reads the response in parts and counts each part before the next one is read.
   void ReadSome(const std::shared_ptr<PendingRequest>& pending) {
-    http::async_read_some(m_stream, m_buffer, *m_parser, [self = Self(), pending](ErrorCode ec, std::size_t) {
+    http::async_read_some(m_stream, m_buffer, *m_parser, [self = Self(), pending](ErrorCode ec, std::size_t size) {
+      self->m_received_bytes += size;
+      if (const auto host = self->m_host.lock(); size > 0 && host != nullptr) host->OnReceived();
       if (ec) return self->Fail(*pending, ec, false);
       if (self->m_parser->is_done()) return self->Finish(*pending);
       const std::size_t bytes = self->m_buffer.capacity() + self->m_parser->get().body().capacity();
@@ -175,7 +180,7 @@
     auto& message = m_parser->get();
     // Bytes after the response belong to no request, so a connection with such bytes is not reused.
     const bool is_reusable = message.keep_alive() && m_buffer.size() == 0 && !m_is_closed;
-    HttpResult result{SendStatus::kAnswered, ToResponse(message), ""};
+    HttpResult result{SendStatus::kAnswered, ToResponse(message), "", m_received_bytes};
     // Idle connections hold neither the request nor a buffer.
     m_request = {};
     m_parser.reset();
@@ -190,7 +195,7 @@
 
   void Fail(PendingRequest& pending, ErrorCode ec, bool nothing_sent) {
     const SendStatus status = nothing_sent ? SendStatus::kNotSent : SendStatus::kUnknown;
-    HttpResult result{status, {}, m_address + ": " + ec.message()};
+    HttpResult result{status, {}, m_address + ": " + ec.message(), m_received_bytes};
     if (const auto host = m_host.lock()) host->Complete(pending, std::move(result));
     Close();
   }
@@ -213,6 +218,7 @@
   http::request<http::string_body> m_request;
   std::optional<Parser> m_parser;
   std::chrono::steady_clock::time_point m_idle_since;
+  std::size_t m_received_bytes = 0;
   bool m_is_reading = false;
   bool m_is_closed = false;
 };
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -24,6 +25,9 @@
 
   virtual std::chrono::steady_clock::time_point idle_since() const = 0;
 
+  /// Bytes of the response that is being read.
+  virtual std::size_t received_bytes() const = 0;
+
   static std::shared_ptr<HttpClientConnection> Make(const std::shared_ptr<HttpClientHost>& host);
 };
 
--- a/src/net/http_client_host.cc
+++ b/src/net/http_client_host.cc
@@ -9,11 +9,12 @@
 namespace jaymast {
 
 HttpClientHost::HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options,
-                               std::shared_ptr<MemoryBudget> budget)
+                               std::shared_ptr<MemoryBudget> budget, std::shared_ptr<ReceiveTime> last_received)
     : m_context(context),
       m_address(std::move(address)),
       m_options(options),
       m_budget(std::move(budget)),
+      m_last_received(std::move(last_received)),
       m_idle_sweep_timer(context) {}
 
 void HttpClientHost::Send(HttpRequest request, HttpClient::Deadline deadline, HttpClient::Callback done) {
@@ -72,8 +73,10 @@
     m_queued.erase(queued);
     return Complete(*pending, HttpResult{SendStatus::kNotSent, {}, m_address + ": no connection before the deadline"});
   }
-  Complete(*pending, HttpResult{SendStatus::kUnknown, {}, m_address + ": no response before the deadline"});
-  if (const auto connection = pending->connection.lock()) connection->Close();
+  const auto connection = pending->connection.lock();
+  const std::size_t received = connection == nullptr ? 0 : connection->received_bytes();
+  Complete(*pending, HttpResult{SendStatus::kUnknown, {}, m_address + ": no response before the deadline", received});
+  if (connection != nullptr) connection->Close();
   if (!m_options.closes_idle_on_timeout) return;
   const auto idle = std::exchange(m_idle, {});
   for (const auto& other : idle) other->Close();
--- a/src/net/http_client_host.h
+++ b/src/net/http_client_host.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <string>
@@ -31,8 +33,10 @@
 /// io_context, except for context().
 class HttpClientHost : public std::enable_shared_from_this<HttpClientHost> {
  public:
+  using ReceiveTime = std::atomic<std::chrono::steady_clock::time_point>;
+
   HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options,
-                 std::shared_ptr<MemoryBudget> budget);
+                 std::shared_ptr<MemoryBudget> budget, std::shared_ptr<ReceiveTime> last_received);
 
   boost::asio::io_context& context() { return m_context; }
   const HttpClientOptions& options() const { return m_options; }
@@ -54,6 +58,9 @@
   /// Called when a connection cannot be established. Fails the oldest queued request.
   void OnConnectFailed(const std::string& reason);
 
+  /// Called when a part of a response arrives.
+  void OnReceived() { m_last_received->store(std::chrono::steady_clock::now()); }
+
   /// Called when a connection is closed.
   void OnClosed();
 
@@ -72,6 +79,7 @@
   const std::string m_address;
   const HttpClientOptions m_options;
   const std::shared_ptr<MemoryBudget> m_budget;  ///< of the responses of all hosts of the client
+  const std::shared_ptr<ReceiveTime> m_last_received;  ///< of all hosts of the client
   std::deque<PendingPtr> m_queued;
   std::vector<std::shared_ptr<HttpClientConnection>> m_idle;  ///< ordered by last use, most recent last
   boost::asio::steady_timer m_idle_sweep_timer;
