--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -106,7 +106,8 @@
 }
 
 void Scheduler::Decide(const ClientCall& call, const ClientReplyFunction& reply) {
-  const bool is_config_fresh = m_config != nullptr && m_freshness.AgeAt(FeedTopic::kConfiguration, m_now) <= kMaxConfigAge;
+  const bool is_config_fresh =
+      m_config != nullptr && m_freshness.AgeAt(FeedTopic::kConfiguration, m_now) <= kMaxConfigAge;
   const bool is_confirmed = m_now - m_leadership.confirmed_at <= kMaxUnconfirmed;
   if (m_config == nullptr) return reply({ClientOutcome::kUnavailable, {}, 0, 1});
   const QueueConfig* queue = m_config->FindQueue(call.host, call.path);
--- a/src/cell_testing/fake_upstream.h
+++ b/src/cell_testing/fake_upstream.h
@@ -74,6 +74,7 @@
     ++m_history.running[order.task];
     ++m_history.starts[order.task];
     m_history.runs[order.task].insert(order.run);
+    if (on_begun) on_begun(order, m_listing);
     if (work.gang_size > 0) m_history.gang_checkpoints[GangRun(order.task, order.run)].insert(order.checkpoint);
     const Duration run_time(static_cast<std::int64_t>(static_cast<double>((work.run_time * slowdown).count()) / speed));
     m_running[order.task] = {order.run, work, m_queue.now(), run_time};
@@ -162,6 +163,7 @@
 
   /// Whether a start carries a valid ticket; not checked if empty.
   std::function<bool(const StartOrder&, const UpstreamListing&)> accepts_ticket;
+  std::function<void(const StartOrder&, const UpstreamListing&)> on_begun;  ///< a run has begun
   bool is_reachable = true;
   bool fails_runs = false;    ///< runs fail at their end
   bool stands_still = false;  ///< runs stay at 10 percent
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -100,9 +100,21 @@
     bool is_up = true;
     bool is_paused = false;
     std::set<std::string> unreachable;  ///< addresses of unreachable peers and upstreams
+    std::set<FeedTopic> stuck_topics;   ///< whose reads get no reply, although the store is available
+    Duration feed_timeout{};            ///< after which a read of the feeds without a reply is given up
     std::uint64_t process_incarnation = 0;
   };
 
+  /// A client call and its response.
+  struct ClientExchange {
+    int instance = 0;
+    std::string method;
+    std::string job;
+    std::string key;
+    Time sent_at{};
+    HttpResponse response;
+  };
+
   explicit SimulatedCluster(int instances, int upstreams, std::int64_t cpu_millis = 8000, CellOptions cell_options = {})
       : FakeSite(upstreams, cpu_millis), store(queue), options(std::move(cell_options)) {
     for (int i = 0; i < instances; ++i) {
@@ -158,11 +170,14 @@
     const std::string id = job.substr(job.find('/') + 1);
     if (method == "POST") AddSubmission(id, request.target, body, key);
     if (method == "DELETE") submissions[id].is_cancelled = true;
-    instance.cell->OnClientRequest(std::move(request), [this, method, job, id](const HttpResponse& response) {
-      responses[method + " " + job].push_back(response);
-      const bool is_accepted = method == "POST" && response.status == static_cast<int>(ClientOutcome::kAccepted);
-      if (is_accepted) submissions[id].is_accepted = true;
-    });
+    const Time sent_at = queue.now();
+    instance.cell->OnClientRequest(
+        std::move(request), [this, index, method, job, id, key, sent_at](const HttpResponse& response) {
+          if (on_response) on_response({index, method, job, key, sent_at, response});
+          responses[method + " " + job].push_back(response);
+          const bool is_accepted = method == "POST" && response.status == static_cast<int>(ClientOutcome::kAccepted);
+          if (is_accepted) submissions[id].is_accepted = true;
+        });
   }
 
   /// Status of the last response to a call, given as "METHOD JOB", or -1 if there is none.
@@ -186,6 +201,7 @@
   std::function<bool(const StartOrder&)> drops_start_reply;  ///< the order is executed, but the reply is lost
   std::function<Duration(const StartOrder&)> start_delay;    ///< the order arrives late and gets no reply
   std::function<OrderStatus(const StartOrder&)> start_status;
+  std::function<void(const ClientExchange&)> on_response;
   int syncs = 0;
   int max_open_immediate_syncs = 0;          ///< of one instance at a time, without those that wait for an end
   std::map<std::string, int> peer_messages;  ///< by the address of the sender
@@ -300,10 +316,19 @@
         : m_cluster(cluster), m_instance(instance), m_listener(listener) {}
     void OnTick(Time now) override {
       const StoreFault fault = m_instance.store->fault;
-      if ((fault != StoreFault::kNone && fault != StoreFault::kSlow) || now < m_next) return;
+      if (now < m_next) return;
+      if (fault == StoreFault::kNoReply) m_next = now + m_instance.feed_timeout;
+      if (fault != StoreFault::kNone && fault != StoreFault::kSlow) return;
       m_next = now + std::chrono::milliseconds(100);
-      m_listener.OnConfig(std::make_shared<const CellConfig>(*m_cluster.config));
-      m_listener.OnDomainsOutOfService(m_cluster.domains_out_of_service);
+      if (!IsStuck(FeedTopic::kConfiguration)) {
+        m_listener.OnConfig(std::make_shared<const CellConfig>(*m_cluster.config));
+        m_listener.OnTopicCurrent(FeedTopic::kConfiguration, now);
+      }
+      if (!IsStuck(FeedTopic::kDomains)) {
+        m_listener.OnDomainsOutOfService(m_cluster.domains_out_of_service);
+        m_listener.OnTopicCurrent(FeedTopic::kDomains, now);
+      }
+      if (IsStuck(FeedTopic::kUpstreams)) return;
       std::set<UpstreamId> listed;
       for (const auto& upstream : m_cluster.fake_upstreams) {
         if (!upstream->is_reachable) continue;
@@ -311,12 +336,12 @@
         listed.insert(upstream->listing().id);
       }
       m_listener.OnUpstreamListComplete(listed);
-      for (const FeedTopic topic : {FeedTopic::kConfiguration, FeedTopic::kUpstreams, FeedTopic::kDomains}) {
-        m_listener.OnTopicCurrent(topic, now);
-      }
+      m_listener.OnTopicCurrent(FeedTopic::kUpstreams, now);
     }
 
    private:
+    bool IsStuck(FeedTopic topic) const { return m_instance.stuck_topics.contains(topic); }
+
     SimulatedCluster& m_cluster;
     Instance& m_instance;
     FeedListener& m_listener;
--- a/src/net/http_client_host.h
+++ b/src/net/http_client_host.h
@@ -78,7 +78,7 @@
   boost::asio::io_context& m_context;
   const std::string m_address;
   const HttpClientOptions m_options;
-  const std::shared_ptr<MemoryBudget> m_budget;  ///< of the responses of all hosts of the client
+  const std::shared_ptr<MemoryBudget> m_budget;        ///< of the responses of all hosts of the client
   const std::shared_ptr<ReceiveTime> m_last_received;  ///< of all hosts of the client
   std::deque<PendingPtr> m_queued;
   std::vector<std::shared_ptr<HttpClientConnection>> m_idle;  ///< ordered by last use, most recent last
