--- a/src/cell/state_store.h
+++ b/src/cell/state_store.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cell/page_sizer.h"
+#include "cell/store_contact.h"
 
 namespace jaymast {
 
@@ -65,6 +66,9 @@
   /// Reads a page of the rows with keys of at least `from` and, unless it is empty, below `to`.
   virtual void Scan(const std::string& table, const std::string& from, const std::string& to, const PageLimits& limits,
                     std::function<void(StateScanReply)> done) = 0;
+
+  /// Whether this instance hears from the store, over all its calls.
+  virtual const StoreContact& contact() = 0;
 };
 
 }  // namespace jaymast
--- a/src/cell_testing/fake_store.h
+++ b/src/cell_testing/fake_store.h
@@ -102,7 +102,23 @@
  public:
   FakeStoreClient(EventQueue& queue, FakeStore& store) : m_queue(queue), m_store(store) {}
 
-  void Commit(const StateTransaction& transaction, std::function<void(StateCommitReply)> done) override {
+  const StoreContact& contact() override { return m_contact; }
+  /// Reads of the feeds are calls as well.
+  void OnFeedRead() {
+    m_contact.OnCallSent(m_queue.now());
+    const bool is_answered = fault == StoreFault::kNone || fault == StoreFault::kSlow;
+    if (is_answered) m_contact.OnReceived(m_queue.now());
+    m_contact.OnCallEnded(is_answered);
+  }
+
+  void Commit(const StateTransaction& transaction, std::function<void(StateCommitReply)> callback) override {
+    m_contact.OnCallSent(m_queue.now());
+    const auto done = [this, callback = std::move(callback)](const StateCommitReply& reply) {
+      const bool is_answered = reply.status != StateStatus::kUnknown;
+      if (is_answered) m_contact.OnReceived(m_queue.now());
+      m_contact.OnCallEnded(is_answered);
+      callback(reply);
+    };
     switch (fault) {
       case StoreFault::kNoReply:
         return m_queue.After(kTimeout, [done] { done({}); });
@@ -126,7 +142,13 @@
   }
 
   void Scan(const std::string& table, const std::string& from, const std::string& to, const PageLimits& limits,
-            std::function<void(StateScanReply)> done) override {
+            std::function<void(StateScanReply)> callback) override {
+    m_contact.OnCallSent(m_queue.now());
+    const auto done = [this, callback = std::move(callback)](const StateScanReply& reply) {
+      if (reply.is_available) m_contact.OnReceived(m_queue.now());
+      m_contact.OnCallEnded(reply.is_available);
+      callback(reply);
+    };
     if (fault == StoreFault::kNoReply || fault == StoreFault::kRefusing) {
       return m_queue.After(fault == StoreFault::kNoReply ? limits.timeout : kLatency, [done] { done({}); });
     }
@@ -156,6 +178,7 @@
 
   EventQueue& m_queue;
   FakeStore& m_store;
+  StoreContact m_contact;
 };
 
 }  // namespace jaymast
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -320,6 +320,7 @@
       if (fault == StoreFault::kNoReply) m_next = now + m_instance.feed_timeout;
       if (fault != StoreFault::kNone && fault != StoreFault::kSlow) return;
       m_next = now + std::chrono::milliseconds(100);
+      m_instance.store->OnFeedRead();
       if (!IsStuck(FeedTopic::kConfiguration)) {
         m_listener.OnConfig(std::make_shared<const CellConfig>(*m_cluster.config));
         m_listener.OnTopicCurrent(FeedTopic::kConfiguration, now);
