Answer by the configuration only while a read proves that it is recent

Cause: only new jobs, cancellations and some refusals checked the age of the configuration; reads of queues and states, further copies of a job and 410 replies did not. Otherwise the call is held while a read may be on its way, and refused as not run, with Retry-After, once the store is unavailable or the proof is 4 s old. No answer is given that a later version could contradict in time, whatever keeps the feed from reading.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -35,6 +35,7 @@
       m_mark_dirty(std::move(mark_dirty)),
       m_on_fenced(std::move(on_fenced)),
       m_now(now),
+      m_freshness(m_ports.feed_bounds),
       m_policy_calls(m_ports.policy) {}
 
 void Scheduler::LoadJob(Job job, std::int64_t age_ms) {
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -57,6 +57,7 @@
     PolicyClient& policy;
     CellEventSink& events;
     CellOptions options;
+    FeedBounds feed_bounds;
   };
 
   /// @param epoch number of the takeover; all fencing tokens of this leader are above those of earlier ones
@@ -196,6 +197,9 @@
 
   // scheduler_clients.cc
   void Decide(const ClientCall& call, const ClientReplyFunction& reply);
+  /// Replies to a call that the known configuration must not decide.
+  /// @param priority of the queue, if it is known
+  void ReplyUndecided(const ClientCall& call, std::int64_t priority, const ClientReplyFunction& reply);
   void Acknowledge(Job& job, const ClientReplyFunction& reply);
   void Submit(const ClientCall& call, const QueueConfig& queue, const JobId& id, const TeamId& team,
               const ClientReplyFunction& reply);
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -13,8 +13,8 @@
 namespace jaymast {
 namespace {
 
-/// A rejection based on an older configuration could be wrong; the leader reads it again at least this often.
-constexpr Duration kMaxConfigAge{1'700'000};
+/// Calls are held while the configuration is not older than this, and refused at once from then on.
+constexpr Duration kMaxHeldConfigAge{4'000'000};
 /// Responses without a write are sent only while the leadership was confirmed within this time.
 constexpr Duration kMaxUnconfirmed{1'200'000};
 /// The end of an outage is unknown. Clients wait 3 s in all, so a delay of more than 2 s would be no retry.
@@ -106,29 +106,25 @@
 }
 
 void Scheduler::Decide(const ClientCall& call, const ClientReplyFunction& reply) {
-  const bool is_config_fresh =
-      m_config != nullptr && m_freshness.AgeAt(FeedTopic::kConfiguration, m_now) <= kMaxConfigAge;
+  const bool is_config_recent = m_config != nullptr && m_freshness.IsRecent(FeedTopic::kConfiguration, m_now);
   const bool is_confirmed = m_now - m_leadership.confirmed_at <= kMaxUnconfirmed;
   if (m_config == nullptr) return reply({ClientOutcome::kUnavailable, {}, 0, 1});
   const QueueConfig* queue = m_config->FindQueue(call.host, call.path);
-  if (queue == nullptr) {
-    if (!is_config_fresh || !is_confirmed) return reply({ClientOutcome::kNotLeader});
-    return reply({ClientOutcome::kNoSuchQueue});
-  }
-  const JobId id(call.path.substr(queue->prefix.size()));
-  Job* job = FindJob(id);
+  const JobId id(queue == nullptr ? std::string() : call.path.substr(queue->prefix.size()));
+  Job* job = queue == nullptr ? nullptr : FindJob(id);
   // A copy of an accepted call gets the same response, even if the key was revoked in between.
   const bool is_copy =
       call.action == ClientAction::kSubmit && job != nullptr && !call.call_id.empty() && job->call_id == call.call_id;
   if (is_copy) return Acknowledge(*job, reply);
+  if (!is_config_recent) return ReplyUndecided(call, queue == nullptr ? 0 : queue->priority, reply);
+  if (queue == nullptr) return reply({is_confirmed ? ClientOutcome::kNoSuchQueue : ClientOutcome::kNotLeader});
   TeamId team;
   if (call.key) {
     const auto found = m_config->team_of_key.find(*call.key);
     if (found != m_config->team_of_key.end()) team = found->second;
   }
   if (team.empty() && !queue->is_public) {
-    if (!is_config_fresh || !is_confirmed) return reply({ClientOutcome::kNotLeader});
-    return reply({ClientOutcome::kUnknownKey});
+    return reply({is_confirmed ? ClientOutcome::kUnknownKey : ClientOutcome::kNotLeader});
   }
   if (call.action == ClientAction::kReadQueue) {
     if (!is_confirmed) return reply({ClientOutcome::kNotLeader});
@@ -140,20 +136,9 @@
     m_ports.events.Emit("job.hidden", {{"job", id.value()}, {"team", team.value()}});
     return reply({is_confirmed ? ClientOutcome::kNoSuchJob : ClientOutcome::kNotLeader});
   }
-  if (call.action == ClientAction::kCancel) {
-    // A revoked key must not cancel, so the configuration must be current.
-    if (!is_config_fresh) return reply({ClientOutcome::kNotLeader});
-    return Cancel(id, reply);
-  }
+  if (call.action == ClientAction::kCancel) return Cancel(id, reply);
   if (call.action == ClientAction::kSubmit && job == nullptr) {
-    if (m_leadership.is_store_stalled && !m_leadership.is_store_unavailable) return reply({ClientOutcome::kNotLeader});
-    if (!is_config_fresh || m_leadership.is_store_unavailable) {
-      m_ports.events.Emit("job.refused", {{"job", id.value()},
-                                          {"reason", "store does not answer"},
-                                          {"config_version", std::to_string(m_config->version)},
-                                          {"config_age_ms", AgeMs(FeedTopic::kConfiguration)}});
-      return reply({ClientOutcome::kUnavailable, {}, 0, OutageRetryAfterS(queue->priority)});
-    }
+    if (m_leadership.is_store_stalled) return ReplyUndecided(call, queue->priority, reply);
     return Submit(call, *queue, id, team, reply);
   }
   if (job == nullptr) return reply({is_confirmed ? ClientOutcome::kNoSuchJob : ClientOutcome::kNotLeader});
@@ -167,6 +152,21 @@
   reply({ClientOutcome::kState, job->committed_state});
 }
 
+void Scheduler::ReplyUndecided(const ClientCall& call, std::int64_t priority, const ClientReplyFunction& reply) {
+  // A call is held while a read may be on its way, or another instance is about to take over.
+  const bool may_be_decided_soon =
+      !m_leadership.is_store_unavailable && m_freshness.AgeAt(FeedTopic::kConfiguration, m_now) <= kMaxHeldConfigAge;
+  if (may_be_decided_soon) return reply({ClientOutcome::kNotLeader});
+  const bool is_submission = call.action == ClientAction::kSubmit;
+  const std::string target(call.path.substr(call.path.rfind('/') + 1));
+  m_ports.events.Emit(is_submission ? "job.refused" : "call.refused",
+                      {{"job", target},
+                       {"reason", "store does not answer"},
+                       {"config_version", std::to_string(m_config->version)},
+                       {"config_age_ms", AgeMs(FeedTopic::kConfiguration)}});
+  reply({ClientOutcome::kUnavailable, {}, 0, OutageRetryAfterS(priority)});
+}
+
 std::int64_t Scheduler::OutageRetryAfterS(std::int64_t priority) {
   // Urgent callers return first; the others return in two halves.
   return priority == 0 ? 1 : 1 + static_cast<std::int64_t>(m_outage_refusals++ % kMaxOutageRetryAfterS);
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -375,7 +375,8 @@
                                 return std::make_unique<FakeFeeds>(*this, instance, listener);
                               },
                               [] {},
-                              options};
+                              options,
+                              FeedBounds{}};
     const std::uint64_t rank = static_cast<std::uint64_t>(instance.address.back() - '0');
     instance.cell =
         std::make_unique<CellInstance>(std::move(ports), instance.address, instance.fitness, rank, queue.now());
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -149,8 +149,9 @@
   m_passed_over_until = m_now + kPassedOverTime;
   m_followers.clear();
   m_term = std::make_unique<CellTerm>(
-      m_ports.store, Scheduler::Ports{m_ports.upstreams, *m_policy_router, m_ports.events, m_ports.options}, record,
-      version, m_now, m_ports.make_feeds, m_ports.request_tick, [this] { m_is_deposed = true; });
+      m_ports.store,
+      Scheduler::Ports{m_ports.upstreams, *m_policy_router, m_ports.events, m_ports.options, m_ports.feed_bounds},
+      record, version, m_now, m_ports.make_feeds, m_ports.request_tick, [this] { m_is_deposed = true; });
   UpdatePolicyCallers();
   if (m_is_stopping) m_term->HandOver("");
   m_ports.request_tick();
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -58,6 +58,7 @@
     CellTerm::MakeFeeds make_feeds;
     std::function<void()> request_tick;
     CellOptions options;
+    FeedBounds feed_bounds;
   };
 
   /// @param address peer address of this instance
