Send starts only while reads prove the list of upstreams and the failure domains out of service

Cause: a start needed a confirmed leadership, but any list of upstreams, however old; the same held for failure domains. Starts need the store anyway, so an outage costs nothing more.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -241,6 +241,8 @@
   // scheduler_orders.cc
   void Assign(Job& job, const TaskKey& key, const UpstreamId& upstream);
   void SendStart(const TaskKey& key, std::int32_t run);
+  /// Whether the leadership is confirmed, and the list of upstreams and the failure domains out of service are recent.
+  bool MaySendStarts() const;
   void SendPostponedStarts();
   void OnStartReply(const TaskKey& key, std::int32_t run, std::uint64_t token, const OrderReply& reply);
   void MarkStarted(Job& job);
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -155,13 +155,18 @@
   batch.writes.push_back({kLeaderTable, kSpeedsKey, EncodeSpeeds(m_speeds.Export())});
 }
 
+bool Scheduler::MaySendStarts() const {
+  // Another leader may have taken over while this process was paused. An upstream that has restarted since does not
+  // know the fencing token of that leader and would accept the start.
+  if (m_now - m_leadership.confirmed_at > kMaxStartUnconfirmed) return false;
+  return m_freshness.IsRecent(FeedTopic::kUpstreams, m_now) && m_freshness.IsRecent(FeedTopic::kDomains, m_now);
+}
+
 void Scheduler::SendStart(const TaskKey& key, std::int32_t run) {
   TaskState* task = FindTask(key);
   if (task == nullptr || task->run != run) return;
   if (task->phase != TaskPhase::kAssigned && task->phase != TaskPhase::kStarting) return;
-  if (m_now - m_leadership.confirmed_at > kMaxStartUnconfirmed) {
-    // Another leader may have taken over while this process was paused. An upstream that has restarted since does not
-    // know the fencing token of that leader and would accept the start.
+  if (!MaySendStarts()) {
     m_postponed_starts.emplace_back(key, run);
     return;
   }
@@ -201,7 +206,7 @@
 }
 
 void Scheduler::SendPostponedStarts() {
-  if (m_postponed_starts.empty() || m_now - m_leadership.confirmed_at > kMaxStartUnconfirmed) return;
+  if (m_postponed_starts.empty() || !MaySendStarts()) return;
   const auto postponed = std::exchange(m_postponed_starts, {});
   for (const auto& [key, run] : postponed) SendStart(key, run);
 }
