Bound what a leader holds in memory during an outage of the store

Cause: once leases lapse, tasks that were assigned but never sent were marked as lost at each tick and assigned again, about 1,000 times a second; each time a callback was added for a transaction that could not take place. Run numbers of 700 and more of tasks that had never run show it.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -297,6 +297,8 @@
   /// Marks tasks as lost that a complete sync reply does not contain although it would if they ran.
   void MarkUnreportedTasksLost(UpstreamState& upstream, const std::set<TaskKey>& reported);
   void MarkAllTasksLost(UpstreamState& upstream, std::string_view reason);
+  /// Marks the tasks as lost whose start was sent, after the lease of the upstream has lapsed.
+  void MarkLapsedTasksLost(UpstreamState& upstream);
   void MarkTaskLost(const TaskKey& key, std::string_view reason);
   void StopStalledRuns(UpstreamState& upstream);
   /// Moves long-running tasks off draining upstreams a few at a time. Their leases would keep them from being restarted
--- a/src/cell/scheduler_upstreams.cc
+++ b/src/cell/scheduler_upstreams.cc
@@ -146,7 +146,7 @@
 }
 
 void Scheduler::SyncIfDue(UpstreamState& upstream) {
-  if (!upstream.tasks.empty() && m_now >= upstream.leases_expire_at) MarkAllTasksLost(upstream, "lease lapsed");
+  if (!upstream.tasks.empty() && m_now >= upstream.leases_expire_at) MarkLapsedTasksLost(upstream);
   if (m_now >= upstream.next_stop) ResendDueStops(upstream);
   if (upstream.is_syncing || m_now < upstream.next_sync || upstream.listing.address.empty()) return;
   if (!upstream.is_listed && upstream.tasks.empty()) return;
@@ -437,6 +437,14 @@
   for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) MarkTaskLost(key, reason);
 }
 
+void Scheduler::MarkLapsedTasksLost(UpstreamState& upstream) {
+  for (const TaskKey& key : std::vector<TaskKey>(upstream.tasks)) {
+    // The start gets a lease of its own when it is sent.
+    const TaskState* task = FindTask(key);
+    if (task != nullptr && task->phase != TaskPhase::kAssigned) MarkTaskLost(key, "lease lapsed");
+  }
+}
+
 void Scheduler::MarkTaskLost(const TaskKey& key, std::string_view reason) {
   Job* job = FindJob(key.job);
   TaskState* task = FindTask(key);
