Send a lost transaction again at the first sign of life of the store

Seen: after an outage new jobs were refused although the store replied. Cause: the transaction that was open when the store came back gets no reply and was waited for until its limit, 0.9 s; the same for a page of the record log, up to 7.2 s. Change: both are sent again at once when the store replies to any call after a silence. The reply to each copy of the present transaction counts, as all copies are the same. Measured: JobIsAcceptedWithinHalfASecondAfterOutage (outages of 2, 5.3 and 11 s) failed before and passes.

--- a/src/cell/group_committer.cc
+++ b/src/cell/group_committer.cc
@@ -37,12 +37,13 @@
   m_now = now;
   if (m_is_deposed || m_is_handed_over) return;
   if (m_reply) {
-    const StateCommitReply reply = *std::exchange(m_reply, std::nullopt);
-    OnReply(reply);
+    const Reply received = *std::exchange(m_reply, std::nullopt);
+    OnReply(received);
     if (m_is_deposed || m_is_handed_over) return;
   }
   if (m_in_flight) {
     if (now - m_sent_at > kSlowReplyBound && !m_failing_since) m_failing_since = m_sent_at;
+    if (m_store.contact().ended_silences() != m_ended_silences) Send(now);
     return;
   }
   if (now < m_next_send) return;
@@ -70,25 +71,35 @@
   m_transaction = std::move(transaction);
   m_on_committed = std::move(batch.on_committed);
   m_first_sent_at = now;
+  m_first_attempt = m_attempt + 1;
   Send(now);
 }
 
 void GroupCommitter::Send(Time now) {
   m_in_flight = true;
   m_sent_at = now;
-  m_store.Commit(*m_transaction, [this, attempt = ++m_attempt](const StateCommitReply& reply) {
-    if (attempt != m_attempt) return;
-    m_reply = reply;
-    m_request_tick();
+  m_ended_silences = m_store.contact().ended_silences();
+  m_store.Commit(*m_transaction, [this, attempt = ++m_attempt, now](const StateCommitReply& reply) {
+    OnCopyReply(attempt, now, reply);
   });
 }
 
-void GroupCommitter::OnReply(const StateCommitReply& reply) {
+void GroupCommitter::OnCopyReply(std::uint64_t attempt, Time sent_at, const StateCommitReply& reply) {
+  if (!m_in_flight || attempt < m_first_attempt) return;
+  const bool is_settled = reply.status == StateStatus::kDone || reply.status == StateStatus::kConflict;
+  // A later copy is still open.
+  if (attempt != m_attempt && !is_settled) return;
+  m_reply = {reply, sent_at};
+  m_request_tick();
+}
+
+void GroupCommitter::OnReply(const Reply& received) {
+  const StateCommitReply& reply = received.reply;
   m_in_flight = false;
   if (reply.now_ms > 0) {
     m_store_now_ms = reply.now_ms;
     m_store_now_at = m_now;
-    m_store_now_sent_at = m_sent_at;
+    m_store_now_sent_at = received.sent_at;
   }
   switch (reply.status) {
     case StateStatus::kDone:
--- a/src/cell/group_committer.h
+++ b/src/cell/group_committer.h
@@ -19,8 +19,9 @@
 
 /// Commits the leader's writes in batches, one transaction at a time, each guarded by the version of the leader row.
 ///
-/// A transaction without a reply is sent again unchanged. Both copies carry the same condition and the same writes, so
-/// at most one of them takes effect, and it does not matter which.
+/// A transaction without a reply is sent again unchanged, at once if the store has replied to another call after a
+/// silence. All copies carry the same condition and the same writes, so at most one of them takes effect, and it does
+/// not matter which.
 class GroupCommitter {
  public:
   /// Returns the next batch, which may be empty.
@@ -61,8 +62,14 @@
   std::int64_t max_store_now_ms(Time now) const { return m_store_now_ms + ToMillis(now - m_store_now_sent_at); }
 
  private:
+  struct Reply {
+    StateCommitReply reply;
+    Time sent_at{};  ///< of the copy that it replies to
+  };
+
   void Send(Time now);
-  void OnReply(const StateCommitReply& reply);
+  void OnCopyReply(std::uint64_t attempt, Time sent_at, const StateCommitReply& reply);
+  void OnReply(const Reply& received);
   void OnCommitted(std::int64_t version);
 
   StateStore& m_store;
@@ -83,7 +90,9 @@
   bool m_is_handed_over = false;
   std::string m_successor;
   std::uint64_t m_attempt = 0;
-  std::optional<StateCommitReply> m_reply;  ///< handled by the next tick, as the process may have been paused
+  std::uint64_t m_first_attempt = 0;   ///< of the present transaction
+  std::uint64_t m_ended_silences = 0;  ///< of the store when the last copy was sent
+  std::optional<Reply> m_reply;        ///< handled by the next tick, as the process may have been paused
   Time m_now{};
   Time m_sent_at{};
   Time m_first_sent_at{};
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -49,7 +49,8 @@
   m_now = now;
   m_scheduler.SetNow(now);
   m_committer.OnTick(now);
-  if (!m_are_jobs_loaded && !m_is_reading && now >= m_next_load_at) Load();
+  const bool is_page_lost = m_is_reading && m_store.contact().ended_silences() != m_ended_silences;
+  if (!m_are_jobs_loaded && (is_page_lost || (!m_is_reading && now >= m_next_load_at))) Load();
   if (m_read_lease_bounds) {
     m_scheduler.LoadLeaseBounds(*std::exchange(m_read_lease_bounds, std::nullopt), m_leases_read_at_ms);
     m_are_leases_loaded = true;
@@ -105,11 +106,13 @@
 void CellTerm::Load() {
   m_is_reading = true;
   m_page_sent_at = m_now;
+  m_ended_silences = m_store.contact().ended_silences();
   m_store.Scan(kRecordTable, m_next_key, "", m_page_sizer.limits(),
-               [this](const StateScanReply& reply) { OnPage(reply); });
+               [this, number = ++m_page_number](const StateScanReply& reply) { OnPage(number, reply); });
 }
 
-void CellTerm::OnPage(const StateScanReply& reply) {
+void CellTerm::OnPage(std::uint64_t number, const StateScanReply& reply) {
+  if (number != m_page_number) return;
   m_is_reading = false;
   if (!reply.is_available) {
     // An outage says nothing about the link. The time limit grew to 7.2 s in one of 9 s, and delayed the next page by
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -65,7 +65,7 @@
   };
 
   void Load();
-  void OnPage(const StateScanReply& reply);
+  void OnPage(std::uint64_t number, const StateScanReply& reply);
   void LoadLeaseBounds();
   void OnLeaseBounds(const StateScanReply& reply);
   /// Reads the speeds that the earlier leader has learned. Nothing waits for them.
@@ -93,6 +93,8 @@
   std::string m_next_key;
   PageSizer m_page_sizer;
   Time m_page_sent_at{};
+  std::uint64_t m_page_number = 0;     ///< of the last read of a page
+  std::uint64_t m_ended_silences = 0;  ///< of the store when it was sent
   std::size_t m_loaded_rows = 0;
   std::size_t m_loaded_bytes = 0;
   Time m_next_load_at{};
