Answer by no earlier version of the configuration than before, also after a change of the leader

Cause: each leader decides by what it has read; one that has just taken over, or is about to be replaced, may know an earlier version than the leader that answered the last call of the same instance. Change: replies and heartbeats of a leader tell the version; a relayed call carries the highest version that its instance has answered by or heard of, and a leader that does not know it leaves the call undecided, so that it is held for the next one.

--- a/src/cell/client_call.h
+++ b/src/cell/client_call.h
@@ -20,6 +20,8 @@
   std::optional<std::string> key;  ///< API key of the client's organisation
   std::string call_id;             ///< the same for all retries and copies of one call
   std::optional<JobSpec> spec;     ///< set for a submission that was parsed
+  /// Version of the configuration by which the instance that took the call has already answered, or heard of.
+  std::int64_t min_config_version = 0;
 };
 
 enum class ClientOutcome {
@@ -41,7 +43,8 @@
   JobState state = JobState::kPending;
   std::int64_t waiting_jobs = 0;
   std::int64_t retry_after_s = 0;
-  std::string reason{};  ///< why the call is malformed, or empty
+  std::string reason{};             ///< why the call is malformed, or empty
+  std::int64_t config_version = 0;  ///< by which the call was decided, 0 if by none
 };
 
 using ClientReplyFunction = std::function<void(const ClientReply&)>;
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -101,6 +101,8 @@
   /// Returns the rows that have changed since the last call.
   CommitBatch CollectBatch();
 
+  /// Version of the configuration, 0 if there is none.
+  std::int64_t config_version() const { return m_config == nullptr ? 0 : m_config->version; }
   std::size_t active_jobs() const { return m_active.size(); }
   std::size_t known_jobs() const { return m_jobs.size(); }
   std::size_t uncommitted_jobs() const { return m_commit_queue.size(); }
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -92,16 +92,21 @@
 }  // namespace
 
 void Scheduler::OnClientCall(const ClientCall& call, const ClientReplyFunction& reply) {
-  if (call.action != ClientAction::kSubmit) return Decide(call, reply);
+  const std::int64_t version = config_version();
+  const auto reply_with_version = [reply, version](ClientReply decided) {
+    decided.config_version = version;
+    reply(decided);
+  };
+  if (call.action != ClientAction::kSubmit) return Decide(call, reply_with_version);
   if (const ClientReply* refusal = m_refused_calls.Find(call.call_id, m_now)) return reply(ClientReply(*refusal));
-  Decide(call, [this, call_id = call.call_id, reply](const ClientReply& decided) {
+  Decide(call, [this, call_id = call.call_id, reply_with_version](const ClientReply& decided) {
     const bool is_refused = decided.outcome != ClientOutcome::kAccepted && decided.outcome != ClientOutcome::kNotLeader;
     const bool is_by_config =
         decided.outcome == ClientOutcome::kNoSuchQueue || decided.outcome == ClientOutcome::kUnknownKey;
     // By the time of the copy a later version of the configuration may be in force, which would decide otherwise.
     const ClientReply later = is_by_config ? ClientReply{ClientOutcome::kUnavailable, {}, 0, 1} : decided;
     if (is_refused) m_refused_calls.Add(call_id, later, m_now);
-    reply(decided);
+    reply_with_version(decided);
   });
 }
 
@@ -116,7 +121,10 @@
   const bool is_copy =
       call.action == ClientAction::kSubmit && job != nullptr && !call.call_id.empty() && job->call_id == call.call_id;
   if (is_copy) return Acknowledge(*job, reply);
-  if (!is_config_recent) return ReplyUndecided(call, queue == nullptr ? 0 : queue->priority, reply);
+  // Another leader has already decided by a later version.
+  const bool is_config_outdated = call.min_config_version > m_config->version;
+  if (!is_config_recent || is_config_outdated)
+    return ReplyUndecided(call, queue == nullptr ? 0 : queue->priority, reply);
   if (queue == nullptr) return reply({is_confirmed ? ClientOutcome::kNoSuchQueue : ClientOutcome::kNotLeader});
   TeamId team;
   if (call.key) {
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -99,9 +99,10 @@
     FakeClientCodec codec;
     bool is_up = true;
     bool is_paused = false;
-    std::set<std::string> unreachable;  ///< addresses of unreachable peers and upstreams
-    std::set<FeedTopic> stuck_topics;   ///< whose reads get no reply, although the store is available
-    Duration feed_timeout{};            ///< after which a read of the feeds without a reply is given up
+    std::set<std::string> unreachable;        ///< addresses of unreachable peers and upstreams
+    std::set<FeedTopic> stuck_topics;         ///< whose reads get no reply, although the store is available
+    std::shared_ptr<CellConfig> late_config;  ///< that reads of the feeds still return, if set
+    Duration feed_timeout{};                  ///< after which a read of the feeds without a reply is given up
     std::uint64_t process_incarnation = 0;
   };
 
@@ -322,7 +323,8 @@
       m_next = now + std::chrono::milliseconds(100);
       m_instance.store->OnFeedRead();
       if (!IsStuck(FeedTopic::kConfiguration)) {
-        m_listener.OnConfig(std::make_shared<const CellConfig>(*m_cluster.config));
+        const bool is_late = m_instance.late_config != nullptr;
+        m_listener.OnConfig(std::make_shared<const CellConfig>(is_late ? *m_instance.late_config : *m_cluster.config));
         m_listener.OnTopicCurrent(FeedTopic::kConfiguration, now);
       }
       if (!IsStuck(FeedTopic::kDomains)) {
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -1,6 +1,7 @@
 #include "instance/cell_instance.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <tuple>
 #include <utility>
@@ -52,6 +53,10 @@
 constexpr const char* kPolicyCallPath = "/peer/advise";
 constexpr const char* kCallIdHeader = "Jaymast-Call-Id";
 constexpr const char* kUndecidedHeader = "Jaymast-Undecided";
+/// Version of the configuration by which a call was decided.
+constexpr const char* kConfigVersionHeader = "Jaymast-Config-Version";
+/// A leader that does not know this version yet must not decide the call.
+constexpr const char* kMinConfigVersionHeader = "Jaymast-Min-Config-Version";
 
 HttpRequest PeerMessage(const char* path, std::string body) {
   HttpRequest request;
@@ -61,6 +66,13 @@
   return request;
 }
 
+/// Reads the version in a header of another instance, 0 if there is none.
+std::int64_t ReadVersion(std::string_view text) {
+  std::int64_t version = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), version);
+  return ec == std::errc() ? std::max<std::int64_t>(0, version) : 0;
+}
+
 }  // namespace
 
 /// Routes the leader's policy calls through this instance or another one.
@@ -186,32 +198,40 @@
 void CellInstance::SendToLeader(const std::string& address, const HttpRequest& request, Time deadline,
                                 const std::function<void(Relay::Attempt)>& done) {
   if (address.empty()) {
-    return HandleClientCall(request, [done](HttpResponse response, bool is_undecided) {
-      done({true, true, is_undecided, std::move(response)});
+    return HandleClientCall(request, m_config_version, [this, done](HttpResponse response, const ClientReply& reply) {
+      OnConfigVersion(reply.config_version);
+      done({true, true, reply.outcome == ClientOutcome::kNotLeader, std::move(response)});
     });
   }
   HttpRequest relayed = request;
   std::erase_if(relayed.headers, [](const auto& header) { return header.first == "Connection"; });
-  m_ports.send_peer(address, std::move(relayed), deadline, [done](PeerResult result) {
+  if (m_config_version > 0) relayed.headers.emplace_back(kMinConfigVersionHeader, std::to_string(m_config_version));
+  m_ports.send_peer(address, std::move(relayed), deadline, [this, done](PeerResult result) {
     const bool is_undecided = result.is_answered && !FindHeader(result.response.headers, kUndecidedHeader).empty();
+    OnConfigVersion(ReadVersion(FindHeader(result.response.headers, kConfigVersionHeader)));
+    std::erase_if(result.response.headers, [](const auto& header) { return header.first == kConfigVersionHeader; });
     done({result.is_answered, result.was_sent, is_undecided, std::move(result.response)});
   });
 }
 
-void CellInstance::HandleClientCall(const HttpRequest& request,
-                                    const std::function<void(HttpResponse, bool is_undecided)>& done) {
-  if (m_term == nullptr) return done(m_ports.codec.EncodeFailure(false), true);
+void CellInstance::HandleClientCall(const HttpRequest& request, std::int64_t min_config_version,
+                                    const std::function<void(HttpResponse, const ClientReply&)>& done) {
+  if (m_term == nullptr) return done(m_ports.codec.EncodeFailure(false), {ClientOutcome::kNotLeader});
   ClientCall call = m_ports.codec.Decode(request);
   call.call_id = std::string(FindHeader(request.headers, kCallIdHeader));
-  m_term->OnClientCall(call, [this, call, done](const ClientReply& reply) {
-    done(m_ports.codec.Encode(call, reply), reply.outcome == ClientOutcome::kNotLeader);
-  });
+  call.min_config_version = min_config_version;
+  m_term->OnClientCall(
+      call, [this, call, done](const ClientReply& reply) { done(m_ports.codec.Encode(call, reply), reply); });
 }
 
 void CellInstance::OnPeerRequest(const HttpRequest& request, const std::function<void(HttpResponse)>& done) {
   if (!FindHeader(request.headers, kCallIdHeader).empty()) {
-    return HandleClientCall(request, [done](HttpResponse response, bool is_undecided) {
-      if (is_undecided) response.headers.emplace_back(kUndecidedHeader, "1");
+    const std::int64_t min_config_version = ReadVersion(FindHeader(request.headers, kMinConfigVersionHeader));
+    return HandleClientCall(request, min_config_version, [done](HttpResponse response, const ClientReply& reply) {
+      if (reply.outcome == ClientOutcome::kNotLeader) response.headers.emplace_back(kUndecidedHeader, "1");
+      if (reply.config_version > 0) {
+        response.headers.emplace_back(kConfigVersionHeader, std::to_string(reply.config_version));
+      }
       done(std::move(response));
     });
   }
@@ -337,6 +357,7 @@
 Heartbeat CellInstance::BuildHeartbeat() const {
   Heartbeat heartbeat{m_term->committer().committed_record(), m_term->committer().committed_version(), {}};
   heartbeat.is_ready = m_term->is_loaded();
+  heartbeat.config_version = m_term->scheduler().config_version();
   // Right after a takeover most followers are not known yet, and a fit one may be among them.
   if (m_now - m_term_began_at < kMinTermBeforeYield || m_followers.empty()) return heartbeat;
   heartbeat.fittest_class = LeaderClass::kShortOfProcessor;
@@ -347,6 +368,7 @@
 }
 
 void CellInstance::OnHeartbeat(const Heartbeat& heartbeat) {
+  OnConfigVersion(heartbeat.config_version);
   if (m_term != nullptr || heartbeat.record.epoch < m_election.leader_epoch()) return;
   const Duration gap = std::min(m_now - m_leader_contact_at, kMaxHeartbeatGap);
   m_leader_unreachable_at = m_now + std::max(kLeaderContactTimeout, gap * kMissedHeartbeats);
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -97,7 +98,11 @@
   void EndTerm(std::string_view reason);
   void SendToLeader(const std::string& address, const HttpRequest& request, Time deadline,
                     const std::function<void(Relay::Attempt)>& done);
-  void HandleClientCall(const HttpRequest& request, const std::function<void(HttpResponse, bool is_undecided)>& done);
+  /// @param min_config_version see ClientCall
+  void HandleClientCall(const HttpRequest& request, std::int64_t min_config_version,
+                        const std::function<void(HttpResponse, const ClientReply&)>& done);
+  /// Later calls of this instance are decided by no earlier version.
+  void OnConfigVersion(std::int64_t version) { m_config_version = std::max(m_config_version, version); }
   Heartbeat BuildHeartbeat() const;
   /// Lets the relay send calls only to a leader that is reachable and not known to be unable to handle calls.
   void UpdateRelay();
@@ -149,6 +154,7 @@
   std::string m_passed_over;  ///< did not take over although named as the successor; not named again for some time
   Time m_passed_over_until{};
   std::uint64_t m_call_count = 0;
+  std::int64_t m_config_version = 0;  ///< highest by which this instance has answered a call, or of which it has heard
 };
 
 }  // namespace jaymast
--- a/src/instance/cell_stale_feeds_test.cc
+++ b/src/instance/cell_stale_feeds_test.cc
@@ -115,6 +115,31 @@
   ExpectNothingStale();
 }
 
+// Guards against an instance that answers by a later version, and after a change of the leader by an earlier one.
+TEST_F(StaleFeedsTest, InstanceAnswersByNoEarlierVersionAfterTakeover) {
+  const int leader = m_cluster.Leader();
+  const int follower = AnyFollower(m_cluster);
+  const auto before = std::make_shared<CellConfig>(*m_cluster.config);
+  m_monitor.RevokeKey("leaver");
+  m_cluster.Run(milliseconds(200));
+  m_cluster.Call(follower, "GET", "q/", "", "leaver");
+  m_cluster.Run(milliseconds(100));
+  ASSERT_EQ(m_cluster.LastStatus("GET q/"), kUnknownKey);
+  m_cluster.Kill(leader);
+  for (const auto& instance : m_cluster.instances) instance->late_config = before;
+  for (int i = 0; i < 15; ++i) {
+    m_cluster.Run(milliseconds(100));
+    for (int j = 0; j < kInstances; ++j) m_cluster.Call(j, "GET", "q/", "", "leaver");
+  }
+  for (const auto& instance : m_cluster.instances) instance->late_config.reset();
+  m_cluster.Run(milliseconds(300));
+  ASSERT_GE(m_cluster.Leader(), 0);
+  m_cluster.Call(follower, "GET", "q/", "", "leaver");
+  m_cluster.Run(milliseconds(100));
+  EXPECT_EQ(m_cluster.LastStatus("GET q/"), kUnknownKey);
+  ExpectNothingStale();
+}
+
 // Guards against a leader that waits out the time limit of a lost transaction after the store is back.
 TEST_F(StaleFeedsTest, JobIsAcceptedWithinHalfASecondAfterOutage) {
   for (const int outage_ms : {2'000, 5'300, 11'070}) {
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -25,6 +25,7 @@
     out["fittest_class"] = static_cast<std::int64_t>(heartbeat.fittest_class);
   }
   out["ready"] = heartbeat.is_ready;
+  if (heartbeat.config_version > 0) out["config_version"] = heartbeat.config_version;
   if (!heartbeat.forward_to.empty()) {
     out["forward_to"] = json::array(heartbeat.forward_to.begin(), heartbeat.forward_to.end());
   }
@@ -40,6 +41,7 @@
   Heartbeat heartbeat{record.value_or(LeaderRecord{}), version, {}};
   heartbeat.fittest_class = static_cast<LeaderClass>(reader.Int("fittest_class", kMaxClass, 0, kMaxClass));
   heartbeat.is_ready = reader.Bool("ready", true);
+  heartbeat.config_version = reader.Int("config_version", 0, 0, kMaxInt);
   if (const json::array* addresses = reader.Array("forward_to")) {
     for (const json::value& address : *addresses) {
       if (!address.is_string()) return std::nullopt;
