Answer all calls before a stopping process ends

Cause: a call that may have run is held until its own deadline, also when that is later than the exit of the process.

--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -395,9 +395,10 @@
   m_term->SetPolicyCallers(callers);
 }
 
-void CellInstance::BeginStop() {
+void CellInstance::BeginStop(Time answer_by) {
   if (m_is_stopping) return;
   m_is_stopping = true;
+  m_relay.SetLatestDeadline(answer_by);
   m_election.Retire();
   m_ports.events.Emit("instance.stopping", {{"open_calls", std::to_string(m_relay.open_calls())}});
   if (m_term == nullptr) return;
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -74,7 +74,8 @@
   /// Handles a request of another instance. `done` is called once.
   void OnPeerRequest(const HttpRequest& request, const std::function<void(HttpResponse)>& done);
   /// Hands over the leadership, if any, and never takes it again. Calls are still relayed.
-  void BeginStop();
+  /// @param answer_by latest time for the responses to all calls, also to those that no leader can decide
+  void BeginStop(Time answer_by);
 
   bool is_ready() const;
   /// Whether shutdown has begun and this instance no longer leads.
--- a/src/instance/cell_takeover_test.cc
+++ b/src/instance/cell_takeover_test.cc
@@ -219,7 +219,7 @@
   const int leader = cluster.Leader();
   const int follower = AnyFollower(cluster);
   cluster.Call(follower, "POST", "job1", "tasks=2 ms=1500");
-  cluster.At(leader).cell->BeginStop();
+  cluster.At(leader).cell->BeginStop(cluster.queue.now() + seconds(5));
   cluster.Run(milliseconds(400));
   EXPECT_GE(cluster.Leader(), 0);
   EXPECT_NE(cluster.Leader(), leader);
@@ -229,6 +229,27 @@
   for (const auto& [task, starts] : cluster.history.starts) EXPECT_EQ(starts, 1) << FormatTaskKey(task);
 }
 
+// Guards against calls that no leader can decide and that are still open when the process has to end.
+TEST(CellTakeoverTest, UndecidedCallsAreAnsweredBeforeAStop) {
+  SimulatedCluster cluster(3, 2);
+  cluster.Run(seconds(2));
+  for (const auto& instance : cluster.instances) instance->store->fault = StoreFault::kNoReply;
+  cluster.Run(milliseconds(100));
+  const Time answer_by = cluster.queue.now() + seconds(4);
+  for (const auto& instance : cluster.instances) instance->cell->BeginStop(answer_by);
+  int calls = 0;
+  for (; cluster.queue.now() < answer_by + milliseconds(100); cluster.Run(milliseconds(50))) {
+    for (int i = 0; i < 3; ++i) {
+      cluster.Call(i, calls % 2 == 0 ? "POST" : "GET", "job" + std::to_string(calls), "tasks=1");
+      ++calls;
+    }
+  }
+  for (const auto& instance : cluster.instances) EXPECT_EQ(instance->cell->open_calls(), 0U) << instance->address;
+  std::size_t answers = 0;
+  for (const auto& [call, responses] : cluster.responses) answers += responses.size();
+  EXPECT_EQ(answers, static_cast<std::size_t>(calls));
+}
+
 // Guards against jobs that a new leader takes as started although their upstream has refused every start.
 TEST(CellTakeoverTest, RefusedStartsLeaveJobsWaiting) {
   SimulatedCluster cluster(2, 2);
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -1,5 +1,6 @@
 #include "instance/relay.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -25,8 +26,9 @@
   call->request = std::move(request);
   call->done = std::move(done);
   call->received_at = now;
-  call->deadline = deadline;
+  call->deadline = std::min(deadline, m_latest_deadline);
   m_calls.insert(call);
+  if (now >= call->deadline) return FailCall(call);
   if (m_is_leader_known) return SendAttempt(call, now);
   if (now - m_leader_known_at > kNoLeaderTimeout) FailCall(call);
 }
@@ -63,6 +65,11 @@
   });
 }
 
+void Relay::SetLatestDeadline(Time deadline) {
+  m_latest_deadline = deadline;
+  for (const CallPtr& call : m_calls) call->deadline = std::min(call->deadline, deadline);
+}
+
 void Relay::OnTick(Time now) {
   m_now = now;
   const std::vector<CallPtr> calls(m_calls.begin(), m_calls.end());
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -43,6 +43,9 @@
   /// @param address empty if this instance leads
   void SetLeader(bool is_known, const std::string& address, std::uint64_t epoch, Time now);
 
+  /// All calls get their response by this time, also those that arrive later.
+  void SetLatestDeadline(Time deadline);
+
   void OnTick(Time now);
 
   std::size_t open_calls() const { return m_calls.size(); }
@@ -74,6 +77,7 @@
   std::uint64_t m_leader_epoch = 0;
   Time m_now{};
   Time m_leader_known_at;
+  Time m_latest_deadline = Time::max();
 };
 
 }  // namespace jaymast
