--- a/src/cell_testing/staleness_monitor.h
+++ b/src/cell_testing/staleness_monitor.h
@@ -83,22 +83,23 @@
   }
 
   void CheckAnswer(const SimulatedCluster::ClientExchange& exchange) {
+    static const std::set<int> kAnswers = {
+        static_cast<int>(ClientOutcome::kAccepted), static_cast<int>(ClientOutcome::kState),
+        static_cast<int>(ClientOutcome::kCancelled), static_cast<int>(ClientOutcome::kQueueLength),
+        static_cast<int>(ClientOutcome::kNoSuchJob)};
     const int status = exchange.response.status;
+    const bool is_answer = kAnswers.contains(status);
+    answers += is_answer ? 1 : 0;
     const auto revoked = m_revoked_at.find(exchange.key);
     if (revoked == m_revoked_at.end()) return;
+    const std::pair key_at_instance{exchange.instance, exchange.key};
     if (status == static_cast<int>(ClientOutcome::kUnknownKey)) {
-      m_refused_key_at.emplace(std::pair{exchange.instance, exchange.key}, m_cluster.queue.now());
-      return;
+      m_refused_key_at.emplace(key_at_instance, m_cluster.queue.now());
     }
-    static const std::set<int> kAnswers = {
-        static_cast<int>(ClientOutcome::kAccepted), static_cast<int>(ClientOutcome::kState),
-        static_cast<int>(ClientOutcome::kCancelled), static_cast<int>(ClientOutcome::kQueueLength),
-        static_cast<int>(ClientOutcome::kNoSuchJob)};
-    if (!kAnswers.contains(status)) return;
-    ++answers;
+    if (!is_answer) return;
     const std::string call = exchange.method + " " + exchange.job;
     if (exchange.sent_at - revoked->second > kConfigBound) Add("answer to a revoked key", call, revoked->second);
-    const auto refused = m_refused_key_at.find({exchange.instance, exchange.key});
+    const auto refused = m_refused_key_at.find(key_at_instance);
     if (refused != m_refused_key_at.end() && exchange.sent_at - refused->second > kDowngradeBound) {
       Add("answer by an earlier version than before", call, refused->second);
     }
