Decide calls at the time at which they are handled, not at that of the last tick

Cause: calls were decided by the time of the last tick, which was before the pause, so that neither the age of the configuration nor that of the leadership showed. Change: the instance gets the time before each call of a client or of another instance.

--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -172,13 +172,19 @@
     if (method == "POST") AddSubmission(id, request.target, body, key);
     if (method == "DELETE") submissions[id].is_cancelled = true;
     const Time sent_at = queue.now();
-    instance.cell->OnClientRequest(
-        std::move(request), [this, index, method, job, id, key, sent_at](const HttpResponse& response) {
-          if (on_response) on_response({index, method, job, key, sent_at, response});
-          responses[method + " " + job].push_back(response);
-          const bool is_accepted = method == "POST" && response.status == static_cast<int>(ClientOutcome::kAccepted);
-          if (is_accepted) submissions[id].is_accepted = true;
-        });
+    const auto on_done = [this, index, method, job, id, key, sent_at](const HttpResponse& response) {
+      if (on_response) on_response({index, method, job, key, sent_at, response});
+      responses[method + " " + job].push_back(response);
+      const bool is_accepted = method == "POST" && response.status == static_cast<int>(ClientOutcome::kAccepted);
+      if (is_accepted) submissions[id].is_accepted = true;
+    };
+    const auto deliver = [this, &instance, request, on_done] {
+      instance.cell->SetNow(queue.now());
+      instance.cell->OnClientRequest(request, on_done);
+    };
+    // A paused process reads the call when it resumes, possibly before its next tick.
+    if (instance.is_paused) return RunLaterOn(instance, kTick, deliver);
+    deliver();
   }
 
   /// Status of the last response to a call, given as "METHOD JOB", or -1 if there is none.
@@ -411,6 +417,7 @@
       return RunLaterOn(from, kPeerLatency, [once, refused] { once(refused); });
     }
     RunLaterOn(*target, kPeerLatency, [this, &from, target, request = std::move(request), once] {
+      target->cell->SetNow(queue.now());
       target->cell->OnPeerRequest(request, [this, &from, once](const HttpResponse& response) {
         RunLaterOn(from, kPeerLatency, [once, response] { once({true, true, response}); });
       });
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -112,6 +112,11 @@
 
 CellInstance::~CellInstance() = default;
 
+void CellInstance::SetNow(Time now) {
+  m_now = now;
+  if (m_term != nullptr) m_term->SetNow(now);
+}
+
 void CellInstance::OnTick(Time now, std::int64_t unix_now_ms) {
   m_now = now;
   m_unix_now_ms = unix_now_ms;
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -68,6 +68,9 @@
   CellInstance(Ports ports, std::string address, LeaderFitness fitness, std::uint64_t rank, Time now);
   ~CellInstance();
 
+  /// Sets the time at which the calls that follow are handled. To be called before each, as the process may have been
+  /// paused since the last tick.
+  void SetNow(Time now);
   void OnTick(Time now, std::int64_t unix_now_ms);
   /// Handles a client call. `done` is called once, by the client's deadline.
   void OnClientRequest(HttpRequest request, std::function<void(HttpResponse)> done);
--- a/src/instance/cell_stale_feeds_test.cc
+++ b/src/instance/cell_stale_feeds_test.cc
@@ -91,6 +91,18 @@
   ExpectNothingStale();
 }
 
+// Guards against a process that handles a call right after a pause by the time before the pause.
+TEST_F(StaleFeedsTest, RevokedKeyIsNotServedAfterPause) {
+  const int leader = m_cluster.Leader();
+  m_cluster.At(leader).is_paused = true;
+  m_monitor.RevokeKey("leaver");
+  m_cluster.Run(seconds(3));
+  m_cluster.At(leader).is_paused = false;
+  for (const char* job : {"q/", "q/job0"}) m_cluster.Call(leader, "GET", job, "", "leaver");
+  m_cluster.Run(seconds(4));
+  ExpectNothingStale();
+}
+
 // Guards against starts on an upstream that has said that it leaves, while reads of the list get no reply.
 TEST_F(StaleFeedsTest, DrainingUpstreamGetsNoStarts) {
   StickLeaderFeeds(FeedTopic::kUpstreams);
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -27,6 +27,8 @@
   CellTerm(StateStore& store, Scheduler::Ports ports, const LeaderRecord& record, std::int64_t version, Time now,
            const MakeFeeds& make_feeds, std::function<void()> request_tick, const std::function<void()>& on_deposed);
 
+  /// Sets the time at which the calls that follow are decided.
+  void SetNow(Time now) { m_scheduler.SetNow(now); }
   void OnTick(Time now, std::int64_t unix_now_ms);
   void OnClientCall(const ClientCall& call, const ClientReplyFunction& reply);
   void SetPolicyCallers(const std::vector<std::string>& addresses) { m_scheduler.SetPolicyCallers(addresses); }
