--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -123,8 +123,9 @@
   if (is_copy) return Acknowledge(*job, reply);
   // Another leader has already decided by a later version.
   const bool is_config_outdated = call.min_config_version > m_config->version;
-  if (!is_config_recent || is_config_outdated)
+  if (!is_config_recent || is_config_outdated) {
     return ReplyUndecided(call, queue == nullptr ? 0 : queue->priority, reply);
+  }
   if (queue == nullptr) return reply({is_confirmed ? ClientOutcome::kNoSuchQueue : ClientOutcome::kNotLeader});
   TeamId team;
   if (call.key) {
