Keep clients from setting the header by which instances tell versions to each other

A client that sends Jaymast-Min-Config-Version had its own calls withheld until their deadlines, as the relayed call kept its header. Change: the instance's own header comes first, and the first one counts.

--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -210,7 +210,8 @@
   }
   HttpRequest relayed = request;
   std::erase_if(relayed.headers, [](const auto& header) { return header.first == "Connection"; });
-  if (m_config_version > 0) relayed.headers.emplace_back(kMinConfigVersionHeader, std::to_string(m_config_version));
+  // The first header of a name counts, so a client can't set it.
+  relayed.headers.emplace(relayed.headers.begin(), kMinConfigVersionHeader, std::to_string(m_config_version));
   m_ports.send_peer(address, std::move(relayed), deadline, [this, done](PeerResult result) {
     const bool is_undecided = result.is_answered && !FindHeader(result.response.headers, kUndecidedHeader).empty();
     OnConfigVersion(ReadVersion(FindHeader(result.response.headers, kConfigVersionHeader)));
--- a/src/instance/cell_stale_feeds_test.cc
+++ b/src/instance/cell_stale_feeds_test.cc
@@ -152,6 +152,20 @@
   ExpectNothingStale();
 }
 
+// Guards against a client that makes its instance withhold calls by a header that instances send to each other.
+TEST_F(StaleFeedsTest, HeaderOfAClientDoesNotDelayItsCalls) {
+  int status = 0;
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/q/";
+  request.headers = {{"Key", "key"}, {"jaymast-min-config-version", "999999"}};
+  m_cluster.At(AnyFollower(m_cluster)).cell->OnClientRequest(request, [&status](const HttpResponse& response) {
+    status = response.status;
+  });
+  m_cluster.Run(milliseconds(300));
+  EXPECT_EQ(status, static_cast<int>(ClientOutcome::kQueueLength));
+}
+
 // Guards against a leader that waits out the time limit of a lost transaction after the store is back.
 TEST_F(StaleFeedsTest, JobIsAcceptedWithinHalfASecondAfterOutage) {
   for (const int outage_ms : {2'000, 5'300, 11'070}) {
