Measure how long calls wait on their way to the leader, and what the event loop does

Seen: in SHORT, calls waited for seconds where nothing measured it, and received_bytes of feed.no_reply were multiples of 512. Change: heartbeats state the leader's time, from which followers estimate its clock; relayed calls state when they were sent and by when their response is of use. load.high tells once a second the busy share of the loop by kind of work, the longest delay of ticks and relayed calls, and the calls handled past their deadlines; the values are gauges as well. HTTP results and feed.no_reply tell the number of reads, servers count requests and the steps in which bodies are read. No decision depends on any of it.

--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -57,6 +57,9 @@
 constexpr const char* kConfigVersionHeader = "Jaymast-Config-Version";
 /// A leader that does not know this version yet must not decide the call.
 constexpr const char* kMinConfigVersionHeader = "Jaymast-Min-Config-Version";
+/// When a relayed call was sent, and by when its response is of use, in us on the clock of the leader.
+constexpr const char* kSentAtHeader = "Jaymast-Sent-At";
+constexpr const char* kDeadlineHeader = "Jaymast-Deadline";
 
 HttpRequest PeerMessage(const char* path, std::string body) {
   HttpRequest request;
@@ -66,11 +69,18 @@
   return request;
 }
 
-/// Reads the version in a header of another instance, 0 if there is none.
-std::int64_t ReadVersion(std::string_view text) {
-  std::int64_t version = 0;
-  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), version);
-  return ec == std::errc() ? std::max<std::int64_t>(0, version) : 0;
+/// Reads the number in a header of another instance, 0 if there is none.
+std::int64_t ReadNumber(std::string_view text) {
+  std::int64_t number = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return ec == std::errc() ? std::max<std::int64_t>(0, number) : 0;
+}
+
+/// Reads the time in a header of another instance, or nothing if it does not know the clock of this one.
+std::optional<Time> ReadTime(std::string_view text) {
+  const std::int64_t micros = ReadNumber(text);
+  if (micros == 0) return std::nullopt;
+  return TimeFromMicros(micros);
 }
 
 }  // namespace
@@ -94,6 +104,7 @@
       m_fitness(fitness),
       m_now(now),
       m_started_at(now),
+      m_load(m_ports.events, now),
       m_relay(
           {[this](const std::string& leader, const HttpRequest& request, Time deadline,
                   const std::function<void(Relay::Attempt)>& done) { SendToLeader(leader, request, deadline, done); },
@@ -212,9 +223,13 @@
   std::erase_if(relayed.headers, [](const auto& header) { return header.first == "Connection"; });
   // The first header of a name counts, so a client can't set it.
   relayed.headers.emplace(relayed.headers.begin(), kMinConfigVersionHeader, std::to_string(m_config_version));
+  for (const auto& [name, time] : {std::pair{kSentAtHeader, m_now}, std::pair{kDeadlineHeader, deadline}}) {
+    const std::int64_t micros = ToMicros(m_leader_clock.ToPeer(time).value_or(Time{}));
+    relayed.headers.emplace(relayed.headers.begin(), name, std::to_string(micros));
+  }
   m_ports.send_peer(address, std::move(relayed), deadline, [this, done](PeerResult result) {
     const bool is_undecided = result.is_answered && !FindHeader(result.response.headers, kUndecidedHeader).empty();
-    OnConfigVersion(ReadVersion(FindHeader(result.response.headers, kConfigVersionHeader)));
+    OnConfigVersion(ReadNumber(FindHeader(result.response.headers, kConfigVersionHeader)));
     std::erase_if(result.response.headers, [](const auto& header) { return header.first == kConfigVersionHeader; });
     done({result.is_answered, result.was_sent, is_undecided, std::move(result.response)});
   });
@@ -232,7 +247,10 @@
 
 void CellInstance::OnPeerRequest(const HttpRequest& request, const std::function<void(HttpResponse)>& done) {
   if (!FindHeader(request.headers, kCallIdHeader).empty()) {
-    const std::int64_t min_config_version = ReadVersion(FindHeader(request.headers, kMinConfigVersionHeader));
+    const std::int64_t min_config_version = ReadNumber(FindHeader(request.headers, kMinConfigVersionHeader));
+    const std::optional<Time> sent_at = ReadTime(FindHeader(request.headers, kSentAtHeader));
+    const std::optional<Time> deadline = ReadTime(FindHeader(request.headers, kDeadlineHeader));
+    if (sent_at && deadline) m_load.OnRelayedCall(*sent_at, m_now, m_now >= *deadline);
     return HandleClientCall(request, min_config_version, [done](HttpResponse response, const ClientReply& reply) {
       if (reply.outcome == ClientOutcome::kNotLeader) response.headers.emplace_back(kUndecidedHeader, "1");
       if (reply.config_version > 0) {
@@ -364,6 +382,7 @@
   Heartbeat heartbeat{m_term->committer().committed_record(), m_term->committer().committed_version(), {}};
   heartbeat.is_ready = m_term->is_loaded();
   heartbeat.config_version = m_term->scheduler().config_version();
+  heartbeat.sent_at = m_now;
   // Right after a takeover most followers are not known yet, and a fit one may be among them.
   if (m_now - m_term_began_at < kMinTermBeforeYield || m_followers.empty()) return heartbeat;
   heartbeat.fittest_class = LeaderClass::kShortOfProcessor;
@@ -381,6 +400,8 @@
   m_leader_contact_at = m_now;
   m_election.SetFittestClass(heartbeat.fittest_class);
   const std::uint64_t epoch = heartbeat.record.epoch;
+  if (epoch != m_contact_epoch) m_leader_clock.Reset();
+  if (heartbeat.sent_at) m_leader_clock.OnMessage(*heartbeat.sent_at, m_now);
   if (heartbeat.is_ready) {
     m_ready_epoch = epoch;
   } else if (m_ready_epoch != epoch) {
@@ -463,6 +484,7 @@
       {"jaymast_open_calls", static_cast<double>(m_relay.open_calls())},
       {"jaymast_leader_class", static_cast<double>(m_fitness.GetClass())},
   };
+  gauges.merge(m_load.Gauges());
   if (m_term == nullptr) {
     if (m_leader_contact_at != Time{}) gauges["jaymast_leader_silence_seconds"] = seconds_since(m_leader_contact_at);
     return gauges;
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -15,6 +15,8 @@
 #include "cell/policy_client.h"
 #include "cell/state_store.h"
 #include "instance/cell_term.h"
+#include "instance/load_monitor.h"
+#include "instance/peer_clock.h"
 #include "instance/peer_codec.h"
 #include "instance/relay.h"
 #include "net/http_message.h"
@@ -86,6 +88,7 @@
   bool is_leader() const { return m_term != nullptr; }
   const CellTerm* term() const { return m_term.get(); }
   std::size_t open_calls() const { return m_relay.open_calls(); }
+  LoadMonitor& load() { return m_load; }
   /// Current gauge values by metric name.
   std::map<std::string, double> Gauges() const;
 
@@ -132,6 +135,8 @@
   Time m_now;
   std::int64_t m_unix_now_ms = 0;
   const Time m_started_at;
+  LoadMonitor m_load;
+  PeerClock m_leader_clock;
   Relay m_relay;
   LeaderElection m_election;
   std::unique_ptr<PolicyRouter> m_policy_router;
--- a/src/instance/peer_codec.cc
+++ b/src/instance/peer_codec.cc
@@ -26,6 +26,7 @@
   }
   out["ready"] = heartbeat.is_ready;
   if (heartbeat.config_version > 0) out["config_version"] = heartbeat.config_version;
+  if (heartbeat.sent_at) out["sent_at_us"] = ToMicros(*heartbeat.sent_at);
   if (!heartbeat.forward_to.empty()) {
     out["forward_to"] = json::array(heartbeat.forward_to.begin(), heartbeat.forward_to.end());
   }
@@ -42,6 +43,8 @@
   heartbeat.fittest_class = static_cast<LeaderClass>(reader.Int("fittest_class", kMaxClass, 0, kMaxClass));
   heartbeat.is_ready = reader.Bool("ready", true);
   heartbeat.config_version = reader.Int("config_version", 0, 0, kMaxInt);
+  const std::int64_t sent_at_us = reader.Int("sent_at_us", 0, 0, kMaxInt);
+  if (sent_at_us > 0) heartbeat.sent_at = TimeFromMicros(sent_at_us);
   if (const json::array* addresses = reader.Array("forward_to")) {
     for (const json::value& address : *addresses) {
       if (!address.is_string()) return std::nullopt;
--- a/src/instance/peer_codec.h
+++ b/src/instance/peer_codec.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/time.h"
 #include "cell/leader_fitness.h"
 #include "cell/leader_record.h"
 #include "cell/policy_client.h"
@@ -22,6 +23,7 @@
   LeaderClass fittest_class = LeaderClass::kFit;
   bool is_ready = true;             ///< whether the leader can handle calls; an older version does not say
   std::int64_t config_version = 0;  ///< by which the leader decides, 0 if it does not say
+  std::optional<Time> sent_at = std::nullopt;  ///< on the clock of the leader
 };
 
 /// Reply to a heartbeat: the followers that have answered a forwarded one since the last reply.
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -34,6 +34,7 @@
   HttpResponse response;           ///< set if the status is kAnswered
   std::string reason;              ///< why there is no response
   std::size_t received_bytes = 0;  ///< of the response, also if the rest of it is missing
+  std::size_t reads = 0;           ///< of the socket, each of which takes a turn of the event loop
 };
 
 struct HttpClientOptions {
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -84,6 +84,7 @@
   void Send(const std::shared_ptr<PendingRequest>& pending) override {
     pending->connection = this->weak_from_this();
     m_received_bytes = 0;
+    m_reads = 0;
     m_request = ToMessage(std::move(pending->request), m_address);
     // The deadline timer of the request covers writing and reading.
     Lowest().expires_never();
@@ -120,6 +121,8 @@
 
   std::size_t received_bytes() const override { return m_received_bytes; }
 
+  std::size_t reads() const override { return m_reads; }
+
  private:
   static constexpr bool kIsTls = !std::is_same_v<Stream, tcp_stream>;
   static constexpr std::size_t kReadChunkBytes = 8192;
@@ -163,6 +166,7 @@
   void ReadSome(const std::shared_ptr<PendingRequest>& pending) {
     http::async_read_some(m_stream, m_buffer, *m_parser, [self = Self(), pending](ErrorCode ec, std::size_t size) {
       self->m_received_bytes += size;
+      ++self->m_reads;
       if (const auto host = self->m_host.lock(); size > 0 && host != nullptr) host->OnReceived();
       if (ec) return self->Fail(*pending, ec, false);
       if (self->m_parser->is_done()) return self->Finish(*pending);
@@ -180,7 +184,7 @@
     auto& message = m_parser->get();
     // Bytes after the response belong to no request, so a connection with such bytes is not reused.
     const bool is_reusable = message.keep_alive() && m_buffer.size() == 0 && !m_is_closed;
-    HttpResult result{SendStatus::kAnswered, ToResponse(message), "", m_received_bytes};
+    HttpResult result{SendStatus::kAnswered, ToResponse(message), "", m_received_bytes, m_reads};
     // Idle connections hold neither the request nor a buffer.
     m_request = {};
     m_parser.reset();
@@ -195,7 +199,7 @@
 
   void Fail(PendingRequest& pending, ErrorCode ec, bool nothing_sent) {
     const SendStatus status = nothing_sent ? SendStatus::kNotSent : SendStatus::kUnknown;
-    HttpResult result{status, {}, m_address + ": " + ec.message(), m_received_bytes};
+    HttpResult result{status, {}, m_address + ": " + ec.message(), m_received_bytes, m_reads};
     if (const auto host = m_host.lock()) host->Complete(pending, std::move(result));
     Close();
   }
@@ -219,6 +223,7 @@
   std::optional<Parser> m_parser;
   std::chrono::steady_clock::time_point m_idle_since;
   std::size_t m_received_bytes = 0;
+  std::size_t m_reads = 0;
   bool m_is_reading = false;
   bool m_is_closed = false;
 };
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -27,6 +27,8 @@
 
   /// Bytes of the response that is being read.
   virtual std::size_t received_bytes() const = 0;
+  /// Reads of the socket for this response.
+  virtual std::size_t reads() const = 0;
 
   static std::shared_ptr<HttpClientConnection> Make(const std::shared_ptr<HttpClientHost>& host);
 };
--- a/src/net/http_client_host.cc
+++ b/src/net/http_client_host.cc
@@ -74,8 +74,13 @@
     return Complete(*pending, HttpResult{SendStatus::kNotSent, {}, m_address + ": no connection before the deadline"});
   }
   const auto connection = pending->connection.lock();
-  const std::size_t received = connection == nullptr ? 0 : connection->received_bytes();
-  Complete(*pending, HttpResult{SendStatus::kUnknown, {}, m_address + ": no response before the deadline", received});
+  HttpResult result;
+  result.reason = m_address + ": no response before the deadline";
+  if (connection != nullptr) {
+    result.received_bytes = connection->received_bytes();
+    result.reads = connection->reads();
+  }
+  Complete(*pending, std::move(result));
   if (connection != nullptr) connection->Close();
   if (!m_options.closes_idle_on_timeout) return;
   const auto idle = std::exchange(m_idle, {});
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -193,7 +193,9 @@
           {"evicted_connections", static_cast<double>(m_shared->evicted_connections)},
           {"refused_bodies", static_cast<double>(m_shared->refused_for_body)},
           {"refused_headers", static_cast<double>(m_shared->refused_for_header)},
-          {"refused_for_memory", static_cast<double>(m_shared->refused_for_memory)}};
+          {"refused_for_memory", static_cast<double>(m_shared->refused_for_memory)},
+          {"requests", static_cast<double>(m_shared->requests)},
+          {"body_reads", static_cast<double>(m_shared->body_reads)}};
 }
 
 void HttpServer::BeginShutdown() {
--- a/src/net/http_server_connection.h
+++ b/src/net/http_server_connection.h
@@ -138,6 +138,7 @@
   void ReadBody() {
     if (m_parser->is_done()) return Dispatch();
     if (!HoldForReading()) return RefuseForMemory();
+    ++m_shared->body_reads;
     boost::beast::http::async_read_some(m_stream, m_buffer, *m_parser, [self = Self()](ErrorCode ec, std::size_t) {
       if (self->m_is_evicted) return self->RefuseForMemory();
       if (ec) return self->RejectRequest(ec);
@@ -163,6 +164,7 @@
                               message.body().capacity() * HttpServerOptions::kCopiesOfBody;
     if (!m_shared->budget.Hold(Self(), bytes, MemoryBudget::Phase::kHandling)) return RefuseForMemory();
     m_shared->SetNotWaiting(this);
+    ++m_shared->requests;
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
