--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -98,6 +98,36 @@
   EXPECT_EQ(m_server->open_connections(), 1U);
 }
 
+// Load pattern: an event loop with many ready connections, in which each read of a message waits for one turn.
+// Guards against replies that are read in so small pieces that a list of 200 KB takes seconds.
+TEST_F(HttpTest, LargeReplyIsReadInFewSteps) {
+  constexpr std::size_t kBodyBytes = 256U << 10U;
+  constexpr std::size_t kMinBytesPerRead = 4096;
+  Listen([](const HttpRequest&, const HttpResponder& responder) {
+    responder.Respond({200, {}, std::string(kBodyBytes, 'x')});
+  });
+  BlockingHttpClient client;
+  for (int i = 0; i < 2; ++i) {
+    const HttpResult result = client.Call(m_server->address(), Post("/list", ""), kTestTimeout);
+    ASSERT_EQ(result.response.body.size(), kBodyBytes);
+    EXPECT_LE(result.reads, kBodyBytes / kMinBytesPerRead) << "request " << i << " of the connection";
+  }
+}
+
+// Guards against requests of the usual size that take one turn of the event loop for each 512 bytes.
+TEST_F(HttpTest, RequestIsReadInFewSteps) {
+  constexpr std::size_t kBodyBytes = 4000;
+  Listen(Echo);
+  BlockingHttpClient client;
+  for (int i = 0; i < 2; ++i) {
+    const HttpResult result =
+        client.Call(m_server->address(), Post("/job", std::string(kBodyBytes, 'x')), kTestTimeout);
+    ASSERT_EQ(result.response.body.size(), kBodyBytes);
+  }
+  EXPECT_EQ(m_server->LimitMetrics().at("requests"), 2);
+  EXPECT_LE(m_server->LimitMetrics().at("body_reads"), 4);
+}
+
 // Guards against a request that was never sent being reported as possibly run, which prevents a retry.
 TEST_F(HttpTest, ConnectionRefusedIsNotSent) {
   boost::asio::io_context context;
