Read messages in pieces of 8 to 16 KiB instead of 512 bytes

Cause: Beast reads as much as the buffer can hold without growing, at least 512 bytes. The buffer of an idle connection is released, so each message was read in pieces of 512 bytes, one in each turn of the event loop. Turns become longer with load; at 8 ms a turn the list of upstreams arrived with 58 KB a second, later than it may be used, and a client's request took up to eight turns. Evidence: all received_bytes of feed.no_reply are multiples of 512 (35,840 bytes in 0.9 s); 513 reads for 256 KiB. Change: the buffer is enlarged once the first bytes of a message are there.

--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -125,7 +125,7 @@
 
  private:
   static constexpr bool kIsTls = !std::is_same_v<Stream, tcp_stream>;
-  static constexpr std::size_t kReadChunkBytes = 8192;
+  static constexpr std::size_t kReadChunkBytes = 16384;
   using Parser = http::response_parser<http::string_body>;
 
   auto Self() { return this->shared_from_this(); }
@@ -174,6 +174,9 @@
       if (!self->m_budget->Hold(self, bytes, MemoryBudget::Phase::kTransfer)) {
         return self->Fail(*pending, http::error::body_limit, false);
       }
+      // Beast reads no more than the capacity of the buffer, or 512 bytes, at a time. A connection that waits for the
+      // first byte holds no large buffer.
+      self->m_buffer.reserve(kReadChunkBytes);
       self->ReadSome(pending);
     });
   }
--- a/src/net/http_server_connection.h
+++ b/src/net/http_server_connection.h
@@ -113,6 +113,8 @@
     m_shared->SetWaiting(this);
     Lowest().expires_after(m_shared->options.header_timeout);
     if (!HoldForReading()) return RefuseForMemory();
+    // Beast reads no more than the capacity of the buffer, or 512 bytes, at a time.
+    m_buffer.reserve(kReadChunkBytes);
     boost::beast::http::async_read_header(m_stream, m_buffer, *m_parser, [self = Self()](ErrorCode ec, std::size_t) {
       if (self->m_is_evicted) return self->RefuseForMemory();
       if (ec) return self->RejectRequest(ec);
