--- a/src/instance/relay_test.cc
+++ b/src/instance/relay_test.cc
@@ -25,10 +25,20 @@
     std::function<void(Relay::Attempt)> done;
   };
 
-  void Call() {
-    m_relay.OnCall({}, m_now, m_now + milliseconds(2800),
+  void Call(Duration time_left = milliseconds(2800), const std::string& method = "POST") {
+    m_relay.OnCall({method, "", {}, ""}, m_now, m_now + time_left,
                    [this](const HttpResponse& response) { m_statuses.push_back(response.status); });
   }
+  /// Completes calls that the leader answers after `time` each.
+  void AnswerCallsAfter(Duration time, const std::string& method = "POST") {
+    for (int i = 0; i < 20; ++i) {
+      Call(milliseconds(2800), method);
+      Tick(time);
+      m_sent_attempts.back().done(Response(kOk));
+    }
+    m_statuses.clear();
+    m_sent_attempts.clear();
+  }
   void Tick(Duration time) {
     m_now += time;
     m_relay.SetLeader(m_is_leader_known, m_leader, m_epoch, m_now);
@@ -132,6 +142,36 @@
   EXPECT_EQ(m_statuses, std::vector<int>{kRefused});
 }
 
+// Load pattern: callers that got no response in time come back with 20 ms left.
+// Guards against calls that add to the load of the leader although no answer can be there in time.
+TEST_F(RelayTest, CallThatCannotBeAnsweredInTimeIsRefusedAtOnce) {
+  Tick(milliseconds(10));
+  AnswerCallsAfter(milliseconds(40));
+  Call(milliseconds(20));
+  EXPECT_EQ(m_statuses, std::vector<int>{kRefused});
+  EXPECT_TRUE(m_sent_attempts.empty());
+  Call(milliseconds(60));
+  EXPECT_EQ(m_sent_attempts.size(), 1U);
+}
+
+// Guards against reads that are refused because writes, which wait for a commit, take longer.
+TEST_F(RelayTest, ReadsAreNotJudgedByWrites) {
+  Tick(milliseconds(10));
+  AnswerCallsAfter(milliseconds(40), "POST");
+  AnswerCallsAfter(milliseconds(5), "GET");
+  Call(milliseconds(20), "GET");
+  EXPECT_EQ(m_sent_attempts.size(), 1U);
+}
+
+// Guards against refusals by what is known of an earlier time, when the leader was slow.
+TEST_F(RelayTest, OldResponseTimesAreForgotten) {
+  Tick(milliseconds(10));
+  AnswerCallsAfter(milliseconds(40));
+  Tick(milliseconds(8000));
+  Call(milliseconds(20));
+  EXPECT_EQ(m_sent_attempts.size(), 1U);
+}
+
 // Guards against calls that are dropped during a change of leader.
 TEST_F(RelayTest, CallWaitsForNextLeader) {
   Tick(milliseconds(10));
