Carry the deadline of a relayed call, and do not run it at the leader once it has passed

Seen: calls are decided, committed and answered after their callers have left, in the order of arrival; each caller comes back, so the overload outlives its cause. Cause: a relayed call told the leader nothing of its caller's deadline. Change: the leader answers a call whose deadline has passed as undecided, before it decodes or decides it. The deadline is that of the call, not of the attempt, as the decision on an earlier attempt also answers a later one. It is stated on the leader's clock, which followers estimate from heartbeats; the estimate is early by the least delay of a message, the time that the reply needs.

--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -106,8 +106,8 @@
       m_started_at(now),
       m_load(m_ports.events, now),
       m_relay(
-          {[this](const std::string& leader, const HttpRequest& request, Time deadline,
-                  const std::function<void(Relay::Attempt)>& done) { SendToLeader(leader, request, deadline, done); },
+          {[this](const std::string& leader, const HttpRequest& request, const Relay::Deadlines& deadlines,
+                  const std::function<void(Relay::Attempt)>& done) { SendToLeader(leader, request, deadlines, done); },
            [this](const HttpRequest& request, Duration waited, bool may_have_run) {
              m_ports.events.Emit("call.gave_up", {{"method", request.method},
                                                   {"target", request.target},
@@ -211,8 +211,8 @@
   m_relay.OnCall(std::move(request), m_now, deadline, std::move(done));
 }
 
-void CellInstance::SendToLeader(const std::string& address, const HttpRequest& request, Time deadline,
-                                const std::function<void(Relay::Attempt)>& done) {
+void CellInstance::SendToLeader(const std::string& address, const HttpRequest& request,
+                                const Relay::Deadlines& deadlines, const std::function<void(Relay::Attempt)>& done) {
   if (address.empty()) {
     return HandleClientCall(request, m_config_version, [this, done](HttpResponse response, const ClientReply& reply) {
       OnConfigVersion(reply.config_version);
@@ -223,11 +223,11 @@
   std::erase_if(relayed.headers, [](const auto& header) { return header.first == "Connection"; });
   // The first header of a name counts, so a client can't set it.
   relayed.headers.emplace(relayed.headers.begin(), kMinConfigVersionHeader, std::to_string(m_config_version));
-  for (const auto& [name, time] : {std::pair{kSentAtHeader, m_now}, std::pair{kDeadlineHeader, deadline}}) {
+  for (const auto& [name, time] : {std::pair{kSentAtHeader, m_now}, std::pair{kDeadlineHeader, deadlines.call}}) {
     const std::int64_t micros = ToMicros(m_leader_clock.ToPeer(time).value_or(Time{}));
     relayed.headers.emplace(relayed.headers.begin(), name, std::to_string(micros));
   }
-  m_ports.send_peer(address, std::move(relayed), deadline, [this, done](PeerResult result) {
+  m_ports.send_peer(address, std::move(relayed), deadlines.attempt, [this, done](PeerResult result) {
     const bool is_undecided = result.is_answered && !FindHeader(result.response.headers, kUndecidedHeader).empty();
     OnConfigVersion(ReadNumber(FindHeader(result.response.headers, kConfigVersionHeader)));
     std::erase_if(result.response.headers, [](const auto& header) { return header.first == kConfigVersionHeader; });
@@ -250,7 +250,9 @@
     const std::int64_t min_config_version = ReadNumber(FindHeader(request.headers, kMinConfigVersionHeader));
     const std::optional<Time> sent_at = ReadTime(FindHeader(request.headers, kSentAtHeader));
     const std::optional<Time> deadline = ReadTime(FindHeader(request.headers, kDeadlineHeader));
-    if (sent_at && deadline) m_load.OnRelayedCall(*sent_at, m_now, m_now >= *deadline);
+    const bool is_expired = deadline && m_now >= *deadline;
+    if (sent_at) m_load.OnRelayedCall(*sent_at, m_now, is_expired);
+    if (is_expired) return done({kStatusUnavailable, {{kUndecidedHeader, "1"}}, ""});
     return HandleClientCall(request, min_config_version, [done](HttpResponse response, const ClientReply& reply) {
       if (reply.outcome == ClientOutcome::kNotLeader) response.headers.emplace_back(kUndecidedHeader, "1");
       if (reply.config_version > 0) {
--- a/src/instance/cell_instance.h
+++ b/src/instance/cell_instance.h
@@ -103,7 +103,7 @@
 
   void BeginTerm(const LeaderRecord& record, std::int64_t version);
   void EndTerm(std::string_view reason);
-  void SendToLeader(const std::string& address, const HttpRequest& request, Time deadline,
+  void SendToLeader(const std::string& address, const HttpRequest& request, const Relay::Deadlines& deadlines,
                     const std::function<void(Relay::Attempt)>& done);
   /// @param min_config_version see ClientCall
   void HandleClientCall(const HttpRequest& request, std::int64_t min_config_version,
--- a/src/instance/peer_codec.h
+++ b/src/instance/peer_codec.h
@@ -21,8 +21,8 @@
   std::vector<std::string> forward_to;  ///< followers to which the receiver forwards the heartbeat
   /// Class of the fittest follower, whose attempt to take over the less fit ones await.
   LeaderClass fittest_class = LeaderClass::kFit;
-  bool is_ready = true;             ///< whether the leader can handle calls; an older version does not say
-  std::int64_t config_version = 0;  ///< by which the leader decides, 0 if it does not say
+  bool is_ready = true;                        ///< whether the leader can handle calls; an older version does not say
+  std::int64_t config_version = 0;             ///< by which the leader decides, 0 if it does not say
   std::optional<Time> sent_at = std::nullopt;  ///< on the clock of the leader
 };
 
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -53,16 +53,17 @@
   const Time attempt_deadline = std::min(call->deadline - margin, now + kAttemptTimeout);
   const std::uint64_t attempt = ++call->attempt;
   ++call->unresolved_attempts;
-  m_ports.send(m_leader_address, call->request, attempt_deadline, [this, call, attempt](Attempt result) {
-    if (call->is_done) return;
-    --call->unresolved_attempts;
-    if (result.was_sent && !result.is_undecided) call->may_have_run = true;
-    // Only the latest attempt decides: an earlier leader may refuse what the new one accepts.
-    if (attempt != call->attempt) return;
-    if (result.is_answered && !result.is_undecided) return Finish(call, std::move(result.response));
-    call->is_attempt_pending = false;
-    call->next_attempt = m_now + kRetryDelay;
-  });
+  m_ports.send(m_leader_address, call->request, {attempt_deadline, call->deadline},
+               [this, call, attempt](Attempt result) {
+                 if (call->is_done) return;
+                 --call->unresolved_attempts;
+                 if (result.was_sent && !result.is_undecided) call->may_have_run = true;
+                 // Only the latest attempt decides: an earlier leader may refuse what the new one accepts.
+                 if (attempt != call->attempt) return;
+                 if (result.is_answered && !result.is_undecided) return Finish(call, std::move(result.response));
+                 call->is_attempt_pending = false;
+                 call->next_attempt = m_now + kRetryDelay;
+               });
 }
 
 void Relay::SetLatestDeadline(Time deadline) {
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -23,9 +23,13 @@
     bool is_undecided = false;  ///< the receiver is not the leader, or can't confirm that it is
     HttpResponse response;
   };
+  struct Deadlines {
+    Time attempt;  ///< `done` is called by then
+    Time call;     ///< a response is of use until then, also the one to another attempt
+  };
   struct Ports {
     /// Sends a call to the leader; an empty address stands for this instance.
-    std::function<void(const std::string& address, const HttpRequest&, Time deadline,
+    std::function<void(const std::string& address, const HttpRequest&, const Deadlines&,
                        std::function<void(Attempt)> done)>
         send;
     /// Response to a call that got no result within `waited`.
--- a/src/instance/relay_test.cc
+++ b/src/instance/relay_test.cc
@@ -52,13 +52,13 @@
   std::uint64_t m_epoch = 1;
   std::vector<SentAttempt> m_sent_attempts;
   std::vector<int> m_statuses;
-  Relay m_relay{
-      {[this](const std::string& address, const HttpRequest&, Time deadline, std::function<void(Relay::Attempt)> done) {
-         m_sent_attempts.push_back({address, deadline, std::move(done)});
-       },
-       [](const HttpRequest& /*request*/, Duration /*waited*/, bool may_have_run) {
-         return HttpResponse{may_have_run ? kMayHaveRun : kRefused, {}, ""};
-       }}};
+  Relay m_relay{{[this](const std::string& address, const HttpRequest&, const Relay::Deadlines& deadlines,
+                        std::function<void(Relay::Attempt)> done) {
+                   m_sent_attempts.push_back({address, deadlines.attempt, std::move(done)});
+                 },
+                 [](const HttpRequest& /*request*/, Duration /*waited*/, bool may_have_run) {
+                   return HttpResponse{may_have_run ? kMayHaveRun : kRefused, {}, ""};
+                 }}};
 };
 
 // Guards against a "not run" from a deposed leader while the call is on its way to the new one.
