Refuse calls at once that no recent answer was fast enough for

Seen: half of the calls that are given up have less than 50 ms left on arrival. Cause: a caller whose call was given up 0.12 s before its deadline comes back at once, so each slow answer costs the leader a second call that cannot be answered in time either, and its connection when the deadline passes. Change: an instance knows the fastest of its recent answers, apart for reads and writes, and refuses a call with less time left as not run.

--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -125,6 +125,7 @@
 
 void CellInstance::SetNow(Time now) {
   m_now = now;
+  m_relay.SetNow(now);
   if (m_term != nullptr) m_term->SetNow(now);
 }
 
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -1,6 +1,7 @@
 #include "instance/relay.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,8 @@
 /// 0.9 s, and the old leader counts as known for another 0.5 s.
 constexpr Duration kNoLeaderTimeout{1'300'000};
 
+CallKind KindOf(const HttpRequest& request) { return request.method == "GET" ? CallKind::kRead : CallKind::kWrite; }
+
 }  // namespace
 
 void Relay::OnCall(HttpRequest request, Time now, Time deadline, std::function<void(HttpResponse)> done) {
@@ -28,7 +31,7 @@
   call->received_at = now;
   call->deadline = std::min(deadline, m_latest_deadline);
   m_calls.insert(call);
-  if (now >= call->deadline) return FailCall(call);
+  if (now >= call->deadline || CannotBeAnsweredInTime(*call)) return FailCall(call);
   if (m_is_leader_known) return SendAttempt(call, now);
   if (now - m_leader_known_at > kNoLeaderTimeout) FailCall(call);
 }
@@ -54,13 +57,16 @@
   const std::uint64_t attempt = ++call->attempt;
   ++call->unresolved_attempts;
   m_ports.send(m_leader_address, call->request, {attempt_deadline, call->deadline},
-               [this, call, attempt](Attempt result) {
+               [this, call, attempt, sent_at = now](Attempt result) {
                  if (call->is_done) return;
                  --call->unresolved_attempts;
                  if (result.was_sent && !result.is_undecided) call->may_have_run = true;
                  // Only the latest attempt decides: an earlier leader may refuse what the new one accepts.
                  if (attempt != call->attempt) return;
-                 if (result.is_answered && !result.is_undecided) return Finish(call, std::move(result.response));
+                 if (result.is_answered && !result.is_undecided) {
+                   m_response_times.Add(KindOf(call->request), m_now - sent_at, m_now);
+                   return Finish(call, std::move(result.response));
+                 }
                  call->is_attempt_pending = false;
                  call->next_attempt = m_now + kRetryDelay;
                });
@@ -86,6 +92,11 @@
   }
 }
 
+bool Relay::CannotBeAnsweredInTime(const Call& call) {
+  const std::optional<Duration> fastest = m_response_times.Fastest(KindOf(call.request), m_now);
+  return fastest && call.deadline - m_now < *fastest;
+}
+
 bool Relay::MayHaveRun(const Call& call) {
   // An attempt without a result may have been received, possibly by an earlier leader.
   return call.may_have_run || call.unresolved_attempts > 0;
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "instance/response_times.h"
 #include "net/http_message.h"
 
 namespace jaymast {
@@ -50,6 +51,8 @@
   /// All calls get their response by this time, also those that arrive later.
   void SetLatestDeadline(Time deadline);
 
+  /// Sets the time at which responses that follow arrive.
+  void SetNow(Time now) { m_now = now; }
   void OnTick(Time now);
 
   std::size_t open_calls() const { return m_calls.size(); }
@@ -70,12 +73,15 @@
   using CallPtr = std::shared_ptr<Call>;
 
   void SendAttempt(const CallPtr& call, Time now);
+  /// Whether no recent call was answered within the time that this one has left.
+  bool CannotBeAnsweredInTime(const Call& call);
   static bool MayHaveRun(const Call& call);
   void FailCall(const CallPtr& call);
   void Finish(const CallPtr& call, HttpResponse response);
 
   Ports m_ports;
   std::set<CallPtr> m_calls;
+  ResponseTimes m_response_times;
   bool m_is_leader_known = false;
   std::string m_leader_address;
   std::uint64_t m_leader_epoch = 0;
