--- a/src/instance/load_monitor.cc
+++ b/src/instance/load_monitor.cc
@@ -20,6 +20,7 @@
 }
 
 void LoadMonitor::OnTick(Time due_at, Time now) {
+  ++m_window.ticks;
   m_window.tick_delay = std::max(m_window.tick_delay, now - due_at);
   if (now - m_window_began_at >= kWindow) EndWindow(now);
 }
@@ -54,6 +55,7 @@
                               {"peer_messages", share(WorkKind::kPeerMessages)},
                               {"peer_replies", share(WorkKind::kPeerReplies)},
                               {"ticks", share(WorkKind::kTicks)},
+                              {"tick_count", std::to_string(m_last.ticks)},
                               {"tick_delay_ms", std::to_string(ToMillis(m_last.tick_delay))},
                               {"relay_delay_ms", std::to_string(ToMillis(m_last.relay_delay))},
                               {"relayed_calls", std::to_string(m_last.relayed_calls)},
--- a/src/instance/load_monitor.h
+++ b/src/instance/load_monitor.h
@@ -43,6 +43,7 @@
 
   struct Window {
     std::array<double, kKinds> busy_shares{};
+    std::size_t ticks = 0;
     Duration tick_delay{};   ///< longest
     Duration relay_delay{};  ///< longest
     std::size_t relayed_calls = 0;
