Count connections, queued requests and missed deadlines of HTTP clients

Seen: no metric shows whether calls between instances wait for a connection, or how many connections missed deadlines cost. Change: HttpClient::LoadMetrics() tells the queued requests and the age of the oldest, connections by state, and counts since the start of connects, requests, requests on reused connections, missed deadlines and connections closed because of them. No behaviour depends on them.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -81,6 +82,9 @@
   /// Number of responses that were given up because all together exceeded max_held_bytes.
   std::uint64_t evicted_responses() const;
 
+  /// Current values of gauges and counters about connections and queued requests, by the end of the metric name.
+  std::map<std::string, double> LoadMetrics() const;
+
  private:
   struct Shared;
   std::shared_ptr<Shared> m_shared;
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -83,6 +83,7 @@
 
   void Send(const std::shared_ptr<PendingRequest>& pending) override {
     pending->connection = this->weak_from_this();
+    m_is_used = true;
     m_received_bytes = 0;
     m_reads = 0;
     m_request = ToMessage(std::move(pending->request), m_address);
@@ -117,6 +118,8 @@
     return size == 0 || errno != EAGAIN;
   }
 
+  bool is_used() const override { return m_is_used; }
+
   std::chrono::steady_clock::time_point idle_since() const override { return m_idle_since; }
 
   std::size_t received_bytes() const override { return m_received_bytes; }
@@ -224,6 +227,7 @@
   std::chrono::steady_clock::time_point m_idle_since;
   std::size_t m_received_bytes = 0;
   std::size_t m_reads = 0;
+  bool m_is_used = false;
   bool m_is_reading = false;
   bool m_is_closed = false;
 };
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -23,6 +23,9 @@
   /// Whether the server closed the idle connection or sent unsolicited data.
   virtual bool IsStale() = 0;
 
+  /// Whether a request was assigned to the connection.
+  virtual bool is_used() const = 0;
+
   virtual std::chrono::steady_clock::time_point idle_since() const = 0;
 
   /// Bytes of the response that is being read.
--- a/src/net/http_client_host.cc
+++ b/src/net/http_client_host.cc
@@ -5,16 +5,19 @@
 
 #include "net/endpoint.h"
 #include "net/http_client_connection.h"
+#include "net/http_client_load.h"
 
 namespace jaymast {
 
 HttpClientHost::HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options,
-                               std::shared_ptr<MemoryBudget> budget, std::shared_ptr<ReceiveTime> last_received)
+                               std::shared_ptr<MemoryBudget> budget, std::shared_ptr<ReceiveTime> last_received,
+                               std::shared_ptr<HttpClientLoad> load)
     : m_context(context),
       m_address(std::move(address)),
       m_options(options),
       m_budget(std::move(budget)),
       m_last_received(std::move(last_received)),
+      m_load(std::move(load)),
       m_idle_sweep_timer(context) {}
 
 void HttpClientHost::Send(HttpRequest request, HttpClient::Deadline deadline, HttpClient::Callback done) {
@@ -48,9 +51,12 @@
 
 void HttpClientHost::OnConnectFailed(const std::string& reason) {
   --m_connecting_count;
+  ++m_load->failed_connects;
+  UpdateGauges();
   if (m_queued.empty()) return;
   const PendingPtr pending = m_queued.front();
   m_queued.pop_front();
+  UpdateGauges();
   Complete(*pending, HttpResult{SendStatus::kNotSent, {}, reason});
 }
 
@@ -71,8 +77,11 @@
   const auto queued = std::find(m_queued.begin(), m_queued.end(), pending);
   if (queued != m_queued.end()) {
     m_queued.erase(queued);
+    ++m_load->missed_queued;
+    UpdateGauges();
     return Complete(*pending, HttpResult{SendStatus::kNotSent, {}, m_address + ": no connection before the deadline"});
   }
+  ++m_load->missed_sent;
   const auto connection = pending->connection.lock();
   HttpResult result;
   result.reason = m_address + ": no response before the deadline";
@@ -81,9 +90,13 @@
     result.reads = connection->reads();
   }
   Complete(*pending, std::move(result));
-  if (connection != nullptr) connection->Close();
+  if (connection != nullptr) {
+    ++m_load->closed_by_miss;
+    connection->Close();
+  }
   if (!m_options.closes_idle_on_timeout) return;
   const auto idle = std::exchange(m_idle, {});
+  m_load->idle_closed_by_miss += idle.size();
   for (const auto& other : idle) other->Close();
 }
 
@@ -93,9 +106,12 @@
     if (connection == nullptr) break;
     const PendingPtr pending = m_queued.front();
     m_queued.pop_front();
+    ++m_load->requests;
+    if (connection->is_used()) ++m_load->reused_requests;
     connection->Send(pending);
   }
   while (m_connecting_count < m_queued.size() && m_open_count < m_options.max_connections_per_host) Connect();
+  UpdateGauges();
 }
 
 std::shared_ptr<HttpClientConnection> HttpClientHost::TakeIdle() {
@@ -119,6 +135,7 @@
   }
   ++m_open_count;
   ++m_connecting_count;
+  ++m_load->connects;
   HttpClientConnection::Make(shared_from_this())->Connect(*endpoint);
 }
 
@@ -141,6 +158,16 @@
   m_idle.erase(m_idle.begin(), first_kept);
   for (const auto& connection : expired) connection->Close();
   if (!m_idle.empty()) ScheduleIdleSweep();
+  UpdateGauges();
+}
+
+void HttpClientHost::UpdateGauges() {
+  const bool is_empty = m_queued.empty();
+  m_gauges.oldest_queued_at = is_empty ? std::chrono::steady_clock::time_point::max() : m_queued.front()->queued_at;
+  m_gauges.queued = m_queued.size();
+  m_gauges.open = m_open_count;
+  m_gauges.connecting = m_connecting_count;
+  m_gauges.idle = m_idle.size();
 }
 
 }  // namespace jaymast
--- a/src/net/http_client_host.h
+++ b/src/net/http_client_host.h
@@ -16,6 +16,7 @@
 namespace jaymast {
 
 class HttpClientConnection;
+struct HttpClientLoad;
 
 /// A request that has not completed, with its deadline timer.
 struct PendingRequest {
@@ -25,23 +26,35 @@
   HttpRequest request;
   HttpClient::Callback done;
   boost::asio::steady_timer timer;
+  std::chrono::steady_clock::time_point queued_at = std::chrono::steady_clock::now();
   std::weak_ptr<HttpClientConnection> connection;  ///< set once the request is assigned to a connection
   bool is_complete = false;
 };
 
 /// Pools the connections to one address and queues its requests. Must be used only on the thread of its
-/// io_context, except for context().
+/// io_context, except for context() and gauges().
 class HttpClientHost : public std::enable_shared_from_this<HttpClientHost> {
  public:
   using ReceiveTime = std::atomic<std::chrono::steady_clock::time_point>;
 
+  /// Present state of the address, for metrics.
+  struct Gauges {
+    ReceiveTime oldest_queued_at{std::chrono::steady_clock::time_point::max()};
+    std::atomic<std::size_t> queued = 0;
+    std::atomic<std::size_t> open = 0;  ///< connections, with those that are being opened
+    std::atomic<std::size_t> connecting = 0;
+    std::atomic<std::size_t> idle = 0;
+  };
+
   HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options,
-                 std::shared_ptr<MemoryBudget> budget, std::shared_ptr<ReceiveTime> last_received);
+                 std::shared_ptr<MemoryBudget> budget, std::shared_ptr<ReceiveTime> last_received,
+                 std::shared_ptr<HttpClientLoad> load);
 
   boost::asio::io_context& context() { return m_context; }
   const HttpClientOptions& options() const { return m_options; }
   const std::string& address() const { return m_address; }
   const std::shared_ptr<MemoryBudget>& budget() const { return m_budget; }
+  const Gauges& gauges() const { return m_gauges; }
 
   /// Sends a request, or queues it until a connection is available.
   void Send(HttpRequest request, HttpClient::Deadline deadline, HttpClient::Callback done);
@@ -74,12 +87,15 @@
   void Connect();
   void ScheduleIdleSweep();
   void CloseExpiredIdle();
+  void UpdateGauges();
 
   boost::asio::io_context& m_context;
   const std::string m_address;
   const HttpClientOptions m_options;
   const std::shared_ptr<MemoryBudget> m_budget;        ///< of the responses of all hosts of the client
   const std::shared_ptr<ReceiveTime> m_last_received;  ///< of all hosts of the client
+  const std::shared_ptr<HttpClientLoad> m_load;        ///< of all hosts of the client
+  Gauges m_gauges;
   std::deque<PendingPtr> m_queued;
   std::vector<std::shared_ptr<HttpClientConnection>> m_idle;  ///< ordered by last use, most recent last
   boost::asio::steady_timer m_idle_sweep_timer;
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
+#include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -218,6 +220,39 @@
   EXPECT_EQ(first.get_future().get().status, SendStatus::kUnknown);
 }
 
+// Guards against overload between instances that no metric shows: queued requests, missed deadlines and new
+// connections.
+TEST_F(HttpTest, ClientCountsConnectionsAndMissedDeadlines) {
+  Listen([](const HttpRequest& request, const HttpResponder& responder) {
+    if (request.body != "silent") Echo(request, responder);
+  });
+  HttpClientOptions options;
+  options.max_connections_per_host = 1;
+  HttpClient client(m_pool, options);
+  const auto send = [&](const std::string& body, milliseconds timeout) {
+    auto result = std::make_shared<std::promise<HttpResult>>();
+    client.Send(m_server->address(), Post("/", body), std::chrono::steady_clock::now() + timeout,
+                [result](HttpResult value) { result->set_value(std::move(value)); });
+    return result->get_future();
+  };
+  send("a", kTestTimeout).get();
+  send("b", kTestTimeout).get();
+  EXPECT_EQ(client.LoadMetrics()["idle_connections"], 1);
+  auto unanswered = send("silent", milliseconds(200));
+  auto queued = send("c", milliseconds(100));
+  EXPECT_EQ(queued.get().status, SendStatus::kNotSent);
+  EXPECT_EQ(unanswered.get().status, SendStatus::kUnknown);
+  std::map<std::string, double> metrics = client.LoadMetrics();
+  EXPECT_EQ(metrics["connects"], 1);
+  EXPECT_EQ(metrics["failed_connects"], 0);
+  EXPECT_EQ(metrics["requests"], 3);
+  EXPECT_EQ(metrics["reused_requests"], 2);
+  EXPECT_EQ(metrics["missed_queued"], 1);
+  EXPECT_EQ(metrics["missed_sent"], 1);
+  EXPECT_EQ(metrics["queued"], 0);
+  EXPECT_EQ(metrics["oldest_queued_seconds"], 0);
+}
+
 // Guards against clients that hold connections open with incomplete requests.
 TEST_F(HttpTest, IncompleteHeadersAndBodiesTimeOut) {
   HttpServerOptions options;
