--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -4,7 +4,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
@@ -61,6 +63,25 @@
 
   ~HttpTest() override { m_pool.Stop(); }
 
+  /// Sends a request with the given body to an address.
+  static std::future<HttpResult> Send(HttpClient& client, const std::string& address, const std::string& body,
+                                      milliseconds timeout = kTestTimeout) {
+    auto result = std::make_shared<std::promise<HttpResult>>();
+    client.Send(address, Post("/", body), std::chrono::steady_clock::now() + timeout,
+                [result](HttpResult value) { result->set_value(std::move(value)); });
+    return result->get_future();
+  }
+
+  /// Waits until a condition holds.
+  static bool WaitFor(const std::function<bool()>& condition) {
+    const auto deadline = std::chrono::steady_clock::now() + kTestTimeout;
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() >= deadline) return false;
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    return true;
+  }
+
   IoPool m_pool{2};
   std::unique_ptr<HttpServer> m_server;
 };
@@ -229,17 +250,11 @@
   HttpClientOptions options;
   options.max_connections_per_host = 1;
   HttpClient client(m_pool, options);
-  const auto send = [&](const std::string& body, milliseconds timeout) {
-    auto result = std::make_shared<std::promise<HttpResult>>();
-    client.Send(m_server->address(), Post("/", body), std::chrono::steady_clock::now() + timeout,
-                [result](HttpResult value) { result->set_value(std::move(value)); });
-    return result->get_future();
-  };
-  send("a", kTestTimeout).get();
-  send("b", kTestTimeout).get();
+  Send(client, m_server->address(), "a").get();
+  Send(client, m_server->address(), "b").get();
   EXPECT_EQ(client.LoadMetrics()["idle_connections"], 1);
-  auto unanswered = send("silent", milliseconds(200));
-  auto queued = send("c", milliseconds(100));
+  auto unanswered = Send(client, m_server->address(), "silent", milliseconds(200));
+  auto queued = Send(client, m_server->address(), "c", milliseconds(100));
   EXPECT_EQ(queued.get().status, SendStatus::kNotSent);
   EXPECT_EQ(unanswered.get().status, SendStatus::kUnknown);
   std::map<std::string, double> metrics = client.LoadMetrics();
@@ -253,6 +268,106 @@
   EXPECT_EQ(metrics["oldest_queued_seconds"], 0);
 }
 
+// Load pattern: bursts of requests that the server answers a little after their deadlines.
+// Guards against overload that makes every missed deadline cost a new connection.
+TEST_F(HttpTest, LateResponsesCostFewConnections) {
+  constexpr std::size_t kRounds = 10;
+  constexpr std::size_t kBurst = 8;
+  std::mutex mutex;
+  std::vector<HttpResponder> waiting;
+  std::size_t received = 0;
+  Listen([&](const HttpRequest&, const HttpResponder& responder) {
+    const std::lock_guard lock(mutex);
+    waiting.push_back(responder);
+    ++received;
+  });
+  HttpClientOptions options;
+  options.closes_idle_on_timeout = true;
+  HttpClient client(m_pool, options);
+  for (std::size_t round = 0; round < kRounds; ++round) {
+    std::vector<std::future<HttpResult>> results;
+    for (std::size_t i = 0; i < kBurst; ++i) {
+      results.push_back(Send(client, m_server->address(), "late", milliseconds(50)));
+    }
+    for (auto& result : results) EXPECT_NE(result.get().status, SendStatus::kAnswered);
+    ASSERT_TRUE(WaitFor([&] {
+      const std::lock_guard lock(mutex);
+      return static_cast<double>(received) == client.LoadMetrics()["requests"];
+    }));
+    const std::lock_guard lock(mutex);
+    for (const HttpResponder& responder : waiting) responder.Respond(HttpResponse{200, {}, "late"});
+    waiting.clear();
+    ASSERT_TRUE(WaitFor([&] {
+      std::map<std::string, double> metrics = client.LoadMetrics();
+      return metrics["open_connections"] == metrics["idle_connections"];
+    }));
+  }
+  EXPECT_LE(client.LoadMetrics()["connects"], static_cast<double>(2 * kBurst));
+}
+
+// Guards against a missed deadline that closes idle connections which have worked since that request was sent.
+TEST_F(HttpTest, MissedDeadlineKeepsIdleConnectionsThatWork) {
+  std::mutex mutex;
+  std::vector<std::pair<HttpRequest, HttpResponder>> waiting;
+  std::promise<void> late_received;
+  Listen([&](const HttpRequest& request, const HttpResponder& responder) {
+    if (request.body == "late") return late_received.set_value();
+    if (request.body != "paired") return Echo(request, responder);
+    const std::lock_guard lock(mutex);
+    waiting.emplace_back(request, responder);
+    if (waiting.size() < 2) return;
+    for (const auto& [paired_request, paired_responder] : waiting) Echo(paired_request, paired_responder);
+  });
+  HttpClientOptions options;
+  options.closes_idle_on_timeout = true;
+  HttpClient client(m_pool, options);
+  auto first = Send(client, m_server->address(), "paired");
+  auto second = Send(client, m_server->address(), "paired");
+  first.get();
+  second.get();
+  auto late = Send(client, m_server->address(), "late", milliseconds(1000));
+  late_received.get_future().wait();
+  EXPECT_EQ(Send(client, m_server->address(), "a").get().response.body, "a");
+  EXPECT_EQ(late.get().status, SendStatus::kUnknown);
+  EXPECT_EQ(Send(client, m_server->address(), "b").get().response.body, "b");
+  EXPECT_EQ(client.LoadMetrics()["connects"], 2);
+  EXPECT_EQ(client.LoadMetrics()["idle_closed_by_miss"], 0);
+}
+
+// Guards against requests on idle connections that are dead: open connections may go silent, without a reset, while new
+// ones work.
+TEST_F(HttpTest, SilentIdleConnectionsAreNotUsedAgain) {
+  boost::asio::io_context context;
+  Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  const std::string address = FormatEndpoint(acceptor.local_endpoint());
+  std::future<void> server = std::async(std::launch::async, [&acceptor] {
+    const auto answer = [](Tcp::socket& socket, const std::string& body) {
+      std::string request;
+      boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\nx");
+      const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + body;
+      boost::asio::write(socket, boost::asio::buffer(response));
+    };
+    Tcp::socket first = acceptor.accept();
+    Tcp::socket second = acceptor.accept();
+    answer(first, "old");
+    answer(second, "old");
+    Tcp::socket third = acceptor.accept();
+    answer(third, "new");
+  });
+  HttpClientOptions options;
+  options.closes_idle_on_timeout = true;
+  HttpClient client(m_pool, options);
+  auto first = Send(client, address, "x");
+  auto second = Send(client, address, "x");
+  EXPECT_EQ(first.get().response.body, "old");
+  EXPECT_EQ(second.get().response.body, "old");
+  EXPECT_EQ(Send(client, address, "x", milliseconds(50)).get().status, SendStatus::kUnknown);
+  EXPECT_TRUE(WaitFor([&client] { return client.LoadMetrics()["idle_connections"] == 0; }));
+  EXPECT_EQ(client.LoadMetrics()["idle_closed_by_miss"], 1);
+  EXPECT_EQ(Send(client, address, "x").get().response.body, "new");
+  server.get();
+}
+
 // Guards against clients that hold connections open with incomplete requests.
 TEST_F(HttpTest, IncompleteHeadersAndBodiesTimeOut) {
   HttpServerOptions options;
