Keep connections whose requests missed their deadlines, until late responses are read

Cause: a missed deadline closed its connection and all idle ones to the address, so in overload each call with little time left cost connects, which burden the busy server more than requests. Change: the connection takes no other request until the late response is read and discarded. It is closed if that takes over 2 s, if the response has over 64 KiB, if the request is not sent completely, or, oldest first, if queued requests need it and more than half of max_connections_per_host wait for late responses.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -59,6 +59,7 @@
                                         {"reused_requests", static_cast<double>(load.reused_requests)},
                                         {"missed_queued", static_cast<double>(load.missed_queued)},
                                         {"missed_sent", static_cast<double>(load.missed_sent)},
+                                        {"late_responses", static_cast<double>(load.late_responses)},
                                         {"closed_by_miss", static_cast<double>(load.closed_by_miss)},
                                         {"idle_closed_by_miss", static_cast<double>(load.idle_closed_by_miss)}};
   const auto now = std::chrono::steady_clock::now();
@@ -67,6 +68,7 @@
   std::size_t open = 0;
   std::size_t connecting = 0;
   std::size_t idle = 0;
+  std::size_t late = 0;
   const std::lock_guard lock(m_shared->mutex);
   for (const auto& [address, host] : m_shared->hosts) {
     const HttpClientHost::Gauges& gauges = host->gauges();
@@ -75,12 +77,14 @@
     open += gauges.open;
     connecting += gauges.connecting;
     idle += gauges.idle;
+    late += gauges.late;
   }
   metrics["queued"] = static_cast<double>(queued);
   metrics["oldest_queued_seconds"] = std::chrono::duration<double>(now - oldest_queued_at).count();
   metrics["open_connections"] = static_cast<double>(open);
   metrics["connecting"] = static_cast<double>(connecting);
   metrics["idle_connections"] = static_cast<double>(idle);
+  metrics["late_connections"] = static_cast<double>(late);
   return metrics;
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -45,16 +45,21 @@
   std::size_t max_header_bytes = 16U << 10U;  ///< of the header of a response, and of its trailers
   std::size_t max_held_bytes = 256U << 20U;   ///< of the responses of all addresses that are being read
   std::chrono::milliseconds connect_timeout{3'000};
-  /// Whether a missed deadline also closes the idle connections to the address, as they may be dead as well.
+  /// Whether a missed deadline also closes the idle connections to the address if they may be dead as well: none that
+  /// was open when the request was sent has received anything since, for longer than an ordinary response takes.
   bool closes_idle_on_timeout = false;
+  std::chrono::milliseconds late_response_time{
+      2'000};                                      ///< how long a connection waits for a response past its deadline
   std::chrono::milliseconds idle_timeout{20'000};  ///< shorter than that of the server, so that reuse rarely fails
   std::shared_ptr<TlsContext> tls;                 ///< plain HTTP when empty
 };
 
 /// Asynchronous HTTP/1.1 client with a pool of connections per address.
 ///
-/// A request is never retried: the caller decides from the status. A connection whose request missed its deadline is
-/// closed, so that a late response cannot be taken for the response to another request.
+/// A request is never retried: the caller decides from the status. A connection whose request missed its deadline takes
+/// no other request until the late response has been read and discarded. It is closed if that response is late by more
+/// than late_response_time, or is large, or if queued requests need the connection and more than half of all wait for
+/// late responses.
 class HttpClient {
  public:
   using Callback = std::function<void(HttpResult)>;
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -83,7 +83,7 @@
 
   void Send(const std::shared_ptr<PendingRequest>& pending) override {
     pending->connection = this->weak_from_this();
-    m_is_used = true;
+    m_sent_at = std::chrono::steady_clock::now();
     m_received_bytes = 0;
     m_reads = 0;
     m_request = ToMessage(std::move(pending->request), m_address);
@@ -100,7 +100,14 @@
     m_is_closed = true;
     Lowest().close();
     m_budget->Release(this);
-    if (const auto host = m_host.lock()) host->OnClosed();
+    if (const auto host = m_host.lock()) host->OnClosed(*this);
+  }
+
+  bool DiscardResponse() override {
+    if (!m_is_reading || m_is_closed || IsLarge()) return false;
+    m_discards_response = true;
+    m_request = {};
+    return true;
   }
 
   void Evict() override {
@@ -118,7 +125,11 @@
     return size == 0 || errno != EAGAIN;
   }
 
-  bool is_used() const override { return m_is_used; }
+  std::chrono::steady_clock::time_point connected_at() const override { return m_connected_at; }
+
+  std::chrono::steady_clock::time_point sent_at() const override { return m_sent_at; }
+
+  std::chrono::steady_clock::time_point received_at() const override { return m_received_at; }
 
   std::chrono::steady_clock::time_point idle_since() const override { return m_idle_since; }
 
@@ -129,6 +140,8 @@
  private:
   static constexpr bool kIsTls = !std::is_same_v<Stream, tcp_stream>;
   static constexpr std::size_t kReadChunkBytes = 8192;
+  /// Reading the rest of a longer response would delay other requests more than a new connection does.
+  static constexpr std::size_t kMaxDiscardedBytes = 64U << 10U;
   using Parser = http::response_parser<http::string_body>;
 
   auto Self() { return this->shared_from_this(); }
@@ -146,7 +159,8 @@
   }
 
   void FinishConnect() {
-    m_idle_since = std::chrono::steady_clock::now();
+    m_connected_at = std::chrono::steady_clock::now();
+    m_idle_since = m_connected_at;
     if (const auto host = m_host.lock()) host->OnConnected(Self());
   }
 
@@ -170,9 +184,10 @@
     http::async_read_some(m_stream, m_buffer, *m_parser, [self = Self(), pending](ErrorCode ec, std::size_t size) {
       self->m_received_bytes += size;
       ++self->m_reads;
-      if (const auto host = self->m_host.lock(); size > 0 && host != nullptr) host->OnReceived();
+      if (size > 0) self->OnReceived();
       if (ec) return self->Fail(*pending, ec, false);
       if (self->m_parser->is_done()) return self->Finish(*pending);
+      if (self->m_discards_response && self->IsLarge()) return self->Close();
       const std::size_t bytes = self->m_buffer.capacity() + self->m_parser->get().body().capacity();
       if (!self->m_budget->Hold(self, bytes, MemoryBudget::Phase::kTransfer)) {
         return self->Fail(*pending, http::error::body_limit, false);
@@ -181,8 +196,22 @@
     });
   }
 
+  void OnReceived() {
+    m_received_at = std::chrono::steady_clock::now();
+    if (const auto host = m_host.lock()) host->OnReceived(m_received_at);
+  }
+
+  /// Whether the response that is being read is too large to be discarded.
+  bool IsLarge() const {
+    if (m_received_bytes > kMaxDiscardedBytes) return true;
+    if (!m_parser->is_header_done()) return false;
+    const auto length = m_parser->content_length();
+    return length && *length > kMaxDiscardedBytes;
+  }
+
   void Finish(PendingRequest& pending) {
     m_is_reading = false;
+    m_discards_response = false;
     m_budget->Release(this);
     auto& message = m_parser->get();
     // Bytes after the response belong to no request, so a connection with such bytes is not reused.
@@ -224,11 +253,14 @@
   boost::beast::flat_buffer m_buffer;
   http::request<http::string_body> m_request;
   std::optional<Parser> m_parser;
+  std::chrono::steady_clock::time_point m_connected_at;
+  std::chrono::steady_clock::time_point m_sent_at;
+  std::chrono::steady_clock::time_point m_received_at;
   std::chrono::steady_clock::time_point m_idle_since;
   std::size_t m_received_bytes = 0;
   std::size_t m_reads = 0;
-  bool m_is_used = false;
   bool m_is_reading = false;
+  bool m_discards_response = false;
   bool m_is_closed = false;
 };
 
--- a/src/net/http_client_host.h
+++ b/src/net/http_client_host.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "net/http_client.h"
@@ -44,6 +45,7 @@
     std::atomic<std::size_t> open = 0;  ///< connections, with those that are being opened
     std::atomic<std::size_t> connecting = 0;
     std::atomic<std::size_t> idle = 0;
+    std::atomic<std::size_t> late = 0;  ///< connections that wait for a late response
   };
 
   HttpClientHost(boost::asio::io_context& context, std::string address, const HttpClientOptions& options,
@@ -72,18 +74,31 @@
   void OnConnectFailed(const std::string& reason);
 
   /// Called when a part of a response arrives.
-  void OnReceived() { m_last_received->store(std::chrono::steady_clock::now()); }
+  void OnReceived(std::chrono::steady_clock::time_point now) { m_last_received->store(now); }
 
   /// Called when a connection is closed.
-  void OnClosed();
+  void OnClosed(const HttpClientConnection& connection);
 
  private:
   using PendingPtr = std::shared_ptr<PendingRequest>;
+  using ConnectionPtr = std::shared_ptr<HttpClientConnection>;
+
+  /// A connection whose request missed its deadline. It takes no request until the response has been read.
+  struct LateConnection {
+    ConnectionPtr connection;
+    HttpClient::Deadline silent_at;  ///< when the lack of a response counts as a sign of dead connections
+    HttpClient::Deadline close_at;
+  };
 
   void StartTimer(const PendingPtr& pending, HttpClient::Deadline deadline);
   void OnDeadline(const PendingPtr& pending);
+  void OnMissed(const ConnectionPtr& connection);
+  void CheckLate();
+  bool RemoveLate(const HttpClientConnection& connection);
+  void CloseIdleIfSilentSince(std::chrono::steady_clock::time_point sent_at);
   void DispatchQueued();
-  std::shared_ptr<HttpClientConnection> TakeIdle();
+  bool MakeRoom();
+  ConnectionPtr TakeIdle();
   void Connect();
   void ScheduleIdleSweep();
   void CloseExpiredIdle();
@@ -97,10 +112,12 @@
   const std::shared_ptr<HttpClientLoad> m_load;        ///< of all hosts of the client
   Gauges m_gauges;
   std::deque<PendingPtr> m_queued;
-  std::vector<std::shared_ptr<HttpClientConnection>> m_idle;  ///< ordered by last use, most recent last
+  std::vector<ConnectionPtr> m_idle;                       ///< ordered by last use, most recent last
+  std::vector<LateConnection> m_late;                      ///< ordered by deadline, most recent last
+  std::unordered_set<const HttpClientConnection*> m_open;  ///< connections, with those that are being opened
+  boost::asio::steady_timer m_late_timer;
   boost::asio::steady_timer m_idle_sweep_timer;
   bool m_is_idle_sweep_scheduled = false;
-  std::size_t m_open_count = 0;
   std::size_t m_connecting_count = 0;
 };
 
--- a/src/net/http_client_load.h
+++ b/src/net/http_client_load.h
@@ -15,6 +15,7 @@
   Counter reused_requests = 0;      ///< of these, on a connection that had served another one before
   Counter missed_queued = 0;        ///< requests that were still queued at their deadline
   Counter missed_sent = 0;          ///< requests that were assigned to a connection and missed their deadline
+  Counter late_responses = 0;       ///< responses that were discarded because their request missed its deadline
   Counter closed_by_miss = 0;       ///< connections closed because their request missed its deadline
   Counter idle_closed_by_miss = 0;  ///< idle connections closed because a request missed its deadline
 };
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -368,6 +368,100 @@
   server.get();
 }
 
+// Guards against a connection that takes a request while the late response to another one is still being read, and
+// against one that is not used again afterwards.
+TEST_F(HttpTest, ConnectionIsUsedAgainOnceItsLateResponseIsRead) {
+  boost::asio::io_context context;
+  Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  const std::string address = FormatEndpoint(acceptor.local_endpoint());
+  std::promise<void> is_second_answered;
+  std::future<void> server = std::async(std::launch::async, [&acceptor, &is_second_answered] {
+    const auto read = [](Tcp::socket& socket) {
+      std::string request;
+      boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\nx");
+    };
+    const auto write = [](Tcp::socket& socket, const std::string& bytes) {
+      boost::asio::write(socket, boost::asio::buffer(bytes));
+    };
+    const std::string header = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+    Tcp::socket first = acceptor.accept();
+    read(first);
+    write(first, header + "la");
+    Tcp::socket second = acceptor.accept();
+    read(second);
+    write(second, header + "next");
+    is_second_answered.get_future().wait();
+    write(first, "te");
+    read(first);
+    write(first, header + "last");
+  });
+  HttpClientOptions options;
+  options.late_response_time = 10 * kTestTimeout;
+  HttpClient client(m_pool, options);
+  EXPECT_EQ(Send(client, address, "x", milliseconds(50)).get().status, SendStatus::kUnknown);
+  EXPECT_EQ(Send(client, address, "x").get().response.body, "next");
+  EXPECT_EQ(client.LoadMetrics()["late_connections"], 1);
+  is_second_answered.set_value();
+  EXPECT_TRUE(WaitFor([&client] { return client.LoadMetrics()["idle_connections"] == 2; }));
+  EXPECT_EQ(Send(client, address, "x").get().response.body, "last");
+  server.get();
+  EXPECT_EQ(client.LoadMetrics()["late_responses"], 1);
+  EXPECT_EQ(client.LoadMetrics()["connects"], 2);
+}
+
+// Guards against late responses that take memory and the link from requests whose callers still wait.
+TEST_F(HttpTest, LargeLateResponseIsNotRead) {
+  std::promise<HttpResponder> late;
+  Listen([&late](const HttpRequest&, const HttpResponder& responder) { late.set_value(responder); });
+  HttpClientOptions options;
+  options.late_response_time = 10 * kTestTimeout;
+  HttpClient client(m_pool, options);
+  EXPECT_EQ(Send(client, m_server->address(), "late", milliseconds(50)).get().status, SendStatus::kUnknown);
+  late.get_future().get().Respond(HttpResponse{200, {}, std::string(1'000'000, 'x')});
+  EXPECT_TRUE(WaitFor([&client] { return client.LoadMetrics()["open_connections"] == 0; }));
+  EXPECT_EQ(client.LoadMetrics()["late_responses"], 0);
+  EXPECT_EQ(client.LoadMetrics()["closed_by_miss"], 1);
+  EXPECT_EQ(client.held_bytes(), 0U);
+}
+
+// Guards against connections that wait for a late response without end.
+TEST_F(HttpTest, ConnectionWithoutALateResponseIsClosed) {
+  Listen([](const HttpRequest&, const HttpResponder&) {});
+  HttpClientOptions options;
+  options.late_response_time = milliseconds(50);
+  HttpClient client(m_pool, options);
+  EXPECT_EQ(Send(client, m_server->address(), "late", milliseconds(50)).get().status, SendStatus::kUnknown);
+  EXPECT_TRUE(WaitFor([&client] { return client.LoadMetrics()["open_connections"] == 0; }));
+  EXPECT_TRUE(WaitFor([this] { return m_server->open_connections() == 0; }));
+}
+
+// Guards against requests that get no connection because all of them wait for late responses.
+TEST_F(HttpTest, LateResponsesLeaveHalfOfTheConnections) {
+  std::mutex mutex;
+  std::vector<std::pair<HttpRequest, HttpResponder>> waiting;
+  Listen([&](const HttpRequest& request, const HttpResponder& responder) {
+    if (request.body == "late") return;
+    const std::lock_guard lock(mutex);
+    waiting.emplace_back(request, responder);
+    if (waiting.size() < 2) return;
+    for (const auto& [paired_request, paired_responder] : waiting) Echo(paired_request, paired_responder);
+  });
+  HttpClientOptions options;
+  options.max_connections_per_host = 4;
+  options.late_response_time = 10 * kTestTimeout;
+  HttpClient client(m_pool, options);
+  std::vector<std::future<HttpResult>> late;
+  for (int i = 0; i < 4; ++i) late.push_back(Send(client, m_server->address(), "late", milliseconds(200)));
+  for (auto& result : late) EXPECT_EQ(result.get().status, SendStatus::kUnknown);
+  EXPECT_TRUE(WaitFor([&client] { return client.LoadMetrics()["late_connections"] == 4; }));
+  auto first = Send(client, m_server->address(), "a");
+  auto second = Send(client, m_server->address(), "b");
+  EXPECT_EQ(first.get().response.body, "a");
+  EXPECT_EQ(second.get().response.body, "b");
+  EXPECT_EQ(client.LoadMetrics()["late_connections"], 2);
+  EXPECT_EQ(client.LoadMetrics()["closed_by_miss"], 2);
+}
+
 // Guards against clients that hold connections open with incomplete requests.
 TEST_F(HttpTest, IncompleteHeadersAndBodiesTimeOut) {
   HttpServerOptions options;
