--- a/src/cell_testing/fake_store.h
+++ b/src/cell_testing/fake_store.h
@@ -113,12 +113,16 @@
 
   void Commit(const StateTransaction& transaction, std::function<void(StateCommitReply)> callback) override {
     m_contact.OnCallSent(m_queue.now());
-    const auto done = [this, callback = std::move(callback)](const StateCommitReply& reply) {
+    const auto handle = [this, callback = std::move(callback)](const StateCommitReply& reply) {
       const bool is_answered = reply.status != StateStatus::kUnknown;
       if (is_answered) m_contact.OnReceived(m_queue.now());
       m_contact.OnCallEnded(is_answered);
       callback(reply);
     };
+    const auto done = [this, handle](const StateCommitReply& reply) {
+      if (!run_reply) return handle(reply);
+      run_reply([handle, reply] { handle(reply); });
+    };
     switch (fault) {
       case StoreFault::kNoReply:
         return m_queue.After(kTimeout, [done] { done({}); });
@@ -144,11 +148,15 @@
   void Scan(const std::string& table, const std::string& from, const std::string& to, const PageLimits& limits,
             std::function<void(StateScanReply)> callback) override {
     m_contact.OnCallSent(m_queue.now());
-    const auto done = [this, callback = std::move(callback)](const StateScanReply& reply) {
+    const auto handle = [this, callback = std::move(callback)](const StateScanReply& reply) {
       if (reply.is_available) m_contact.OnReceived(m_queue.now());
       m_contact.OnCallEnded(reply.is_available);
       callback(reply);
     };
+    const auto done = [this, handle](const StateScanReply& reply) {
+      if (!run_reply) return handle(reply);
+      run_reply([handle, reply] { handle(reply); });
+    };
     if (fault == StoreFault::kNoReply || fault == StoreFault::kRefusing) {
       return m_queue.After(fault == StoreFault::kNoReply ? limits.timeout : kLatency, [done] { done({}); });
     }
@@ -161,6 +169,8 @@
   }
 
   StoreFault fault = StoreFault::kNone;
+  /// Handles a reply when the processor of the instance gets to it; empty if work takes no time.
+  std::function<void(std::function<void()>)> run_reply;
   std::int64_t scan_bytes_per_second = 0;  ///< what the link leaves for replies to scans; 0 does not limit them
 
  private:
--- a/src/cell_testing/simulated_cluster.h
+++ b/src/cell_testing/simulated_cluster.h
@@ -13,8 +13,10 @@
 #include <utility>
 #include <vector>
 
+#include "cell_testing/fake_processor.h"
 #include "cell_testing/fake_site.h"
 #include "cell_testing/fake_store.h"
+#include "cell_testing/processor_settings.h"
 #include "instance/cell_instance.h"
 
 namespace jaymast {
@@ -23,6 +25,7 @@
 class FakeClientCodec : public ClientCodec {
  public:
   ClientCall Decode(const HttpRequest& request) const override {
+    if (on_decode) on_decode();
     ClientCall call;
     call.path = request.target;
     const std::string_view key = FindHeader(request.headers, "Key");
@@ -42,6 +45,7 @@
     response.status = static_cast<int>(reply.outcome);
     const bool is_count = reply.outcome == ClientOutcome::kQueueLength;
     response.body = is_count ? std::to_string(reply.waiting_jobs) : std::string(ToString(reply.state));
+    if (reply.retry_after_s > 0) response.headers.emplace_back("Retry-After", std::to_string(reply.retry_after_s));
     return response;
   }
   std::int64_t ClientTimeoutMs(const HttpRequest& request) const override {
@@ -54,6 +58,8 @@
 
   static constexpr int kMayHaveRun = 504;
   static constexpr int kNotRun = 503;
+
+  std::function<void()> on_decode;  ///< a call is about to be decided
 };
 
 /// Counts events by reason, and prints them with simulated time if JAYMAST_TEST_EVENTS is set, to trace a failed fault
@@ -104,6 +110,7 @@
     std::shared_ptr<CellConfig> late_config;  ///< that reads of the feeds still return, if set
     Duration feed_timeout{};                  ///< after which a read of the feeds without a reply is given up
     std::uint64_t process_incarnation = 0;
+    std::unique_ptr<FakeProcessor> processor;  ///< unset if work takes no time
   };
 
   /// A client call and its response.
@@ -116,7 +123,9 @@
     HttpResponse response;
   };
 
-  explicit SimulatedCluster(int instances, int upstreams, std::int64_t cpu_millis = 8000, CellOptions cell_options = {})
+  /// @param processor_settings of each instance; unset if work takes no time
+  explicit SimulatedCluster(int instances, int upstreams, std::int64_t cpu_millis = 8000, CellOptions cell_options = {},
+                            const std::optional<ProcessorSettings>& processor_settings = std::nullopt)
       : FakeSite(upstreams, cpu_millis), store(queue), options(std::move(cell_options)) {
     for (int i = 0; i < instances; ++i) {
       this->instances.push_back(std::make_unique<Instance>());
@@ -125,6 +134,7 @@
       instance.store = std::make_unique<FakeStoreClient>(queue, store);
       instance.upstreams = std::make_unique<FakeUpstreamClient>(*this, instance);
       instance.policy = std::make_unique<FakePolicyClient>(*this, instance);
+      if (processor_settings) AddProcessor(instance, *processor_settings);
       StartInstance(instance);
     }
   }
@@ -135,6 +145,7 @@
     Instance& instance = At(index);
     instance.is_up = false;
     ++instance.process_incarnation;
+    if (instance.processor) instance.processor->Reset();
     m_stopped_cells.push_back(std::move(instance.cell));
   }
 
@@ -183,8 +194,8 @@
       instance.cell->OnClientRequest(request, on_done);
     };
     // A paused process reads the call when it resumes, possibly before its next tick.
-    if (instance.is_paused) return RunLaterOn(instance, kTick, deliver);
-    deliver();
+    if (instance.is_paused) return RunLaterOn(instance, kTick, {MessageKind::kClientCall, SizeOf(request), deliver});
+    RunOn(instance, {MessageKind::kClientCall, SizeOf(request), deliver});
   }
 
   /// Status of the last response to a call, given as "METHOD JOB", or -1 if there is none.
@@ -264,7 +275,8 @@
         if (is_immediate) --m_open_immediate_syncs;
         done(reply);
       };
-      RunLater(limit, [once] { once({}); });
+      const auto is_open = [is_done] { return !*is_done; };
+      m_cluster.RunLaterOn(m_instance, limit, {MessageKind::kTimer, 0, [once] { once({}); }, is_open});
       if (upstream == nullptr) return;
       m_cluster.queue.After(kPeerLatency, [this, upstream, order, once] {
         upstream->Sync(order, [this, upstream, once](const SyncReply& reply) {
@@ -284,7 +296,7 @@
 
     /// Calls back unless the process has ended.
     void RunLater(Duration delay, std::function<void()> action) {
-      m_cluster.RunLaterOn(m_instance, delay, std::move(action));
+      m_cluster.RunLaterOn(m_instance, delay, {MessageKind::kUpstreamReply, 0, std::move(action)});
     }
 
     SimulatedCluster& m_cluster;
@@ -305,10 +317,11 @@
       };
       PolicyReply no_reply;
       no_reply.may_be_pending = true;
+      const auto is_open = [is_done] { return !*is_done; };
       m_cluster.RunLaterOn(m_instance, std::chrono::milliseconds(policy_request.timeout_ms),
-                           [once, no_reply] { once(no_reply); });
+                           {MessageKind::kTimer, 0, [once, no_reply] { once(no_reply); }, is_open});
       m_cluster.policy_service.Call(m_instance.address, policy_request, [this, once](const PolicyReply& reply) {
-        m_cluster.RunLaterOn(m_instance, kPeerLatency, [once, reply] { once(reply); });
+        m_cluster.RunLaterOn(m_instance, kPeerLatency, {MessageKind::kPolicyReply, 0, [once, reply] { once(reply); }});
       });
     }
 
@@ -326,7 +339,33 @@
       if (now < m_next) return;
       if (fault == StoreFault::kNoReply) m_next = now + m_instance.feed_timeout;
       if (fault != StoreFault::kNone && fault != StoreFault::kSlow) return;
-      m_next = now + std::chrono::milliseconds(100);
+      if (m_instance.processor == nullptr) {
+        m_next = now + kInterval;
+        return Apply(now);
+      }
+      m_next = now + kReadTimeout;
+      m_cluster.RunLaterOn(m_instance, kPeerLatency,
+                           {MessageKind::kFeedRead, kListingBytes * m_cluster.fake_upstreams.size(),
+                            [this, now] {
+                              m_next = std::min(m_next, m_cluster.queue.now() + kInterval);
+                              Apply(now);
+                            },
+                            [is_open = std::weak_ptr<Time>(m_sent_at), sent_at = now] {
+                              const std::shared_ptr<Time> latest = is_open.lock();
+                              return latest != nullptr && *latest == sent_at;
+                            }});
+      *m_sent_at = now;
+    }
+
+   private:
+    static constexpr Duration kInterval{100'000};
+    /// Without a reply for this time the feeds are read again, and the late reply is not read any further.
+    static constexpr Duration kReadTimeout{900'000};
+    static constexpr std::size_t kListingBytes = 200;
+
+    bool IsStuck(FeedTopic topic) const { return m_instance.stuck_topics.contains(topic); }
+
+    void Apply(Time now) {
       m_instance.store->OnFeedRead();
       if (!IsStuck(FeedTopic::kConfiguration)) {
         const bool is_late = m_instance.late_config != nullptr;
@@ -348,25 +387,67 @@
       m_listener.OnTopicCurrent(FeedTopic::kUpstreams, now);
     }
 
-   private:
-    bool IsStuck(FeedTopic topic) const { return m_instance.stuck_topics.contains(topic); }
-
     SimulatedCluster& m_cluster;
     Instance& m_instance;
     FeedListener& m_listener;
     Time m_next{};
+    std::shared_ptr<Time> m_sent_at = std::make_shared<Time>();  ///< of the latest read
   };
 
-  void RunLaterOn(Instance& instance, Duration delay, std::function<void()> action) {
+  static std::size_t SizeOf(const HttpRequest& request) {
+    std::size_t bytes = request.target.size() + request.body.size();
+    for (const auto& [name, value] : request.headers) bytes += name.size() + value.size();
+    return bytes;
+  }
+
+  void AddProcessor(Instance& instance, const ProcessorSettings& settings) {
+    instance.processor = std::make_unique<FakeProcessor>(queue, settings);
+    instance.codec.on_decode = [processor = instance.processor.get()] {
+      processor->Charge(processor->settings().decision_cost);
+    };
+    instance.processor->on_work = [this, &instance](MessageKind kind, Time began_at) {
+      instance.cell->load().AddWork(WorkKindOf(kind), began_at, queue.now());
+    };
+    instance.store->run_reply = [this, &instance](std::function<void()> action) {
+      RunOn(instance, {MessageKind::kStoreReply, 0, std::move(action)});
+    };
+  }
+
+  static WorkKind WorkKindOf(MessageKind kind) {
+    switch (kind) {
+      case MessageKind::kClientCall:
+        return WorkKind::kClientCalls;
+      case MessageKind::kRelayedCall:
+      case MessageKind::kPeerMessage:
+        return WorkKind::kPeerMessages;
+      case MessageKind::kPeerReply:
+        return WorkKind::kPeerReplies;
+      default:
+        return WorkKind::kTicks;
+    }
+  }
+
+  void RunLaterOn(Instance& instance, Duration delay, FakeProcessor::Message message) {
     queue.After(delay, [this, &instance, process_incarnation = instance.process_incarnation,
-                        action = std::move(action)]() mutable {
+                        message = std::move(message)]() mutable {
       if (instance.process_incarnation != process_incarnation) return;
-      // A paused process handles received messages when it resumes.
-      if (instance.is_paused) return RunLaterOn(instance, kTick, std::move(action));
-      action();
+      RunOn(instance, std::move(message));
     });
   }
 
+  /// Handles a message that has arrived, when the processor gets to it.
+  void RunOn(Instance& instance, FakeProcessor::Message message) {
+    // A paused process handles received messages when it resumes.
+    if (instance.is_paused) return RunLaterOn(instance, kTick, std::move(message));
+    if (instance.processor == nullptr) return message.handle();
+    message.handle = [this, &instance, message] {
+      if (instance.is_paused) return RunLaterOn(instance, kTick, message);
+      instance.cell->SetNow(queue.now());
+      message.handle();
+    };
+    instance.processor->Post(std::move(message));
+  }
+
   void StartInstance(Instance& instance) {
     instance.is_up = true;
     ++instance.process_incarnation;
@@ -393,6 +474,16 @@
 
   void Tick(Instance& instance, std::uint64_t process_incarnation) {
     if (instance.process_incarnation != process_incarnation) return;
+    if (instance.processor && !instance.is_paused) {
+      return RunOn(instance, {MessageKind::kTick, 0, [this, &instance, process_incarnation, due_at = queue.now()] {
+                                instance.cell->load().OnTick(due_at, queue.now());
+                                RunTick(instance, process_incarnation);
+                              }});
+    }
+    RunTick(instance, process_incarnation);
+  }
+
+  void RunTick(Instance& instance, std::uint64_t process_incarnation) {
     if (!instance.is_paused) instance.cell->OnTick(queue.now(), ToMillis(queue.now().time_since_epoch()));
     queue.After(kTick, [this, &instance, process_incarnation] { Tick(instance, process_incarnation); });
   }
@@ -400,12 +491,15 @@
   void SendPeer(Instance& from, const std::string& address, HttpRequest request, Time deadline,
                 const std::function<void(PeerResult)>& done) {
     ++peer_messages[from.address];
+    if (from.processor) from.processor->Charge(from.processor->settings().send_cost);
     auto is_done = std::make_shared<bool>(false);
     const auto once = [done, is_done](const PeerResult& result) {
       if (std::exchange(*is_done, true)) return;
       done(result);
     };
-    RunLaterOn(from, std::max(Duration(1), deadline - queue.now()), [once] { once({}); });
+    const auto is_open = [is_done] { return !*is_done; };
+    RunLaterOn(from, std::max(Duration(1), deadline - queue.now()),
+               {MessageKind::kTimer, 0, [once] { once({}); }, is_open});
     Instance* target = nullptr;
     for (const auto& instance : instances) {
       if (instance->address == address) target = instance.get();
@@ -414,14 +508,19 @@
     if (!target->is_up) {
       PeerResult refused;
       refused.was_sent = false;
-      return RunLaterOn(from, kPeerLatency, [once, refused] { once(refused); });
+      return RunLaterOn(from, kPeerLatency, {MessageKind::kPeerReply, 0, [once, refused] { once(refused); }});
     }
-    RunLaterOn(*target, kPeerLatency, [this, &from, target, request = std::move(request), once] {
+    const bool is_call = !FindHeader(request.headers, "Jaymast-Call-Id").empty();
+    const MessageKind kind = is_call ? MessageKind::kRelayedCall : MessageKind::kPeerMessage;
+    const std::size_t bytes = SizeOf(request);
+    const auto handle = [this, &from, target, request = std::move(request), once, is_open] {
       target->cell->SetNow(queue.now());
-      target->cell->OnPeerRequest(request, [this, &from, once](const HttpResponse& response) {
-        RunLaterOn(from, kPeerLatency, [once, response] { once({true, true, response}); });
+      target->cell->OnPeerRequest(request, [this, &from, once, is_open](const HttpResponse& response) {
+        const auto handle_reply = [once, response] { once({true, true, response}); };
+        RunLaterOn(from, kPeerLatency, {MessageKind::kPeerReply, response.body.size(), handle_reply, is_open});
       });
-    });
+    };
+    RunLaterOn(*target, kPeerLatency, {kind, bytes, handle});
   }
 
   std::vector<std::unique_ptr<CellInstance>> m_stopped_cells;  ///< pending callbacks refer to them
