--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -3,7 +3,9 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
 #include <mutex>
@@ -21,10 +23,17 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::string_literals::operator""s;
 using Tcp = boost::asio::ip::tcp;
 
 /// Limit on waits for events that must happen. Tests do not depend on how soon they do.
 constexpr milliseconds kTestTimeout{20'000};
+/// More than the event loop handles in one step.
+constexpr int kManyConnections = 400;
+constexpr milliseconds kBlockedTime{800};
+/// After the grace period of a shutdown.
+constexpr milliseconds kGracePassed{400};
+constexpr milliseconds kSlowHandler{2};
 
 void Echo(const HttpRequest& request, const HttpResponder& responder) {
   HttpResponse response;
@@ -59,6 +68,25 @@
 
   ~HttpTest() override { m_pool.Stop(); }
 
+  /// Keeps all threads of the pool busy for longer than connections stay open after a shutdown begins.
+  void BlockThreads() {
+    for (std::size_t i = 0; i < m_pool.size(); ++i) {
+      boost::asio::post(m_pool.Context(i), [] { std::this_thread::sleep_for(kBlockedTime); });
+    }
+  }
+
+  /// Number of connections with a response, after the server has closed them all.
+  static int CountServed(std::vector<Tcp::socket>& sockets) {
+    int served = 0;
+    for (Tcp::socket& socket : sockets) {
+      std::string response;
+      boost::system::error_code ec;
+      boost::asio::read(socket, boost::asio::dynamic_buffer(response), ec);
+      if (response.starts_with("HTTP/1.1 200") && response.ends_with("\r\n\r\nx")) ++served;
+    }
+    return served;
+  }
+
   IoPool m_pool{2};
   std::unique_ptr<HttpServer> m_server;
 };
@@ -282,6 +310,47 @@
   EXPECT_TRUE(m_server->WaitForShutdown(kTestTimeout));
 }
 
+// Guards against requests that arrived on idle connections while the threads were busy, and that are discarded when the
+// grace period of the shutdown ends.
+TEST_F(HttpTest, ShutdownServesRequestsThatWaitForABusyThread) {
+  Listen(Echo);
+  boost::asio::io_context context;
+  std::vector<Tcp::socket> sockets;
+  const std::string request = "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx";
+  for (int i = 0; i < kManyConnections; ++i) {
+    sockets.emplace_back(context).connect(*ParseEndpoint(m_server->address()));
+    boost::asio::write(sockets.back(), boost::asio::buffer(request));
+    std::string response;
+    boost::asio::read_until(sockets.back(), boost::asio::dynamic_buffer(response), "\r\n\r\nx");
+  }
+  m_server->BeginShutdown();
+  for (std::size_t i = 0; i < m_pool.size(); ++i) m_pool.RunAndWait(i, [] {});
+  BlockThreads();
+  std::this_thread::sleep_for(kGracePassed);
+  for (Tcp::socket& socket : sockets) boost::asio::write(socket, boost::asio::buffer(request));
+  EXPECT_EQ(CountServed(sockets), kManyConnections);
+  EXPECT_TRUE(m_server->WaitForShutdown(kTestTimeout));
+}
+
+// Guards against connections from the backlog that are closed before their request is read, because the requests of the
+// others take longer than the grace period of the shutdown.
+TEST_F(HttpTest, ShutdownServesTheBacklogOfABusyServer) {
+  Listen([](const HttpRequest& request, const HttpResponder& responder) {
+    std::this_thread::sleep_for(kSlowHandler);
+    Echo(request, responder);
+  });
+  BlockThreads();
+  boost::asio::io_context context;
+  std::vector<Tcp::socket> sockets;
+  for (int i = 0; i < kManyConnections; ++i) {
+    sockets.emplace_back(context).connect(*ParseEndpoint(m_server->address()));
+    boost::asio::write(sockets.back(), boost::asio::buffer("POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"s));
+  }
+  m_server->BeginShutdown();
+  EXPECT_EQ(CountServed(sockets), kManyConnections);
+  EXPECT_TRUE(m_server->WaitForShutdown(kTestTimeout));
+}
+
 // Guards against a bind failure that is ignored or does not name the address.
 TEST_F(HttpTest, PortInUseIsAnErrorWithTheAddress) {
   Listen(Echo);
