Serve requests that have arrived when the grace period of a shutdown ends

Cause: an idle connection was closed 250 ms after the shutdown began although a request was in its receive buffer, which a busy thread had not read yet. An event loop reads 128 connections before it looks at its timers.

Change: a connection with bytes to read stays open until its request has a response.

--- a/src/net/http_server_connection.h
+++ b/src/net/http_server_connection.h
@@ -99,7 +99,8 @@
     m_buffer.shrink_to_fit();
     m_shared->budget.Release(this);
     m_state = State::kIdle;
-    Lowest().expires_after(m_shared->is_shutting_down ? kShutdownGracePeriod : m_shared->options.idle_timeout);
+    Lowest().expires_after(m_shared->options.idle_timeout);
+    if (m_shared->is_shutting_down) CloseWhenIdle();
     m_stream.async_read_some(m_buffer.prepare(kIdleReadBytes), [self = Self()](ErrorCode ec, std::size_t size) {
       if (ec) return self->Close();
       self->m_buffer.commit(size);
@@ -267,7 +268,10 @@
   void CloseWhenIdle() {
     m_shutdown_timer.expires_after(kShutdownGracePeriod);
     m_shutdown_timer.async_wait([self = Self()](ErrorCode ec) {
-      if (!ec && self->m_state == State::kIdle) self->Close();
+      if (ec || self->m_state != State::kIdle) return;
+      // A request that has arrived is served, as a busy thread may not have read it yet.
+      ErrorCode ignored;
+      if (self->Lowest().socket().available(ignored) == 0) self->Close();
     });
   }
 
