Refuse requests that are still being read before an entry exits

Cause: a stopping entry that had not read all of a request when it exited closed its connection without a response.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -208,6 +208,12 @@
   for (const auto& [key, connection] : m_shared->connections) connection->CloseGracefully();
 }
 
+void HttpServer::RefuseRequests() {
+  if (m_shared->is_refusing.exchange(true)) return;
+  const std::lock_guard lock(m_shared->mutex);
+  for (const auto& [key, connection] : m_shared->connections) connection->RefuseUnfinished();
+}
+
 bool HttpServer::WaitForShutdown(std::chrono::milliseconds timeout) {
   std::unique_lock lock(m_shared->mutex);
   return m_shared->all_closed.wait_for(lock, timeout, [this] { return m_shared->connections.empty(); });
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -67,6 +67,10 @@
   /// Begins a graceful shutdown: stops accepting, completes requests in flight, then closes each connection.
   void BeginShutdown();
 
+  /// Refuses the requests that are being read, and those that are received later. Their clients get a response even
+  /// while they are still sending.
+  void RefuseRequests();
+
   /// Waits until all connections are closed.
   /// @return false on timeout
   bool WaitForShutdown(std::chrono::milliseconds timeout);
--- a/src/net/http_server_connection.h
+++ b/src/net/http_server_connection.h
@@ -60,6 +60,12 @@
     boost::asio::post(Lowest().get_executor(), [self = Self()] { self->GiveUp(); });
   }
 
+  void RefuseUnfinished() override {
+    boost::asio::post(Lowest().get_executor(), [self = Self()] {
+      if (!self->m_is_closed && self->m_state == State::kReading) self->EndReading();
+    });
+  }
+
   void CloseGracefully() override {
     boost::asio::post(Lowest().get_executor(), [self = Self()] { self->CloseWhenIdle(); });
   }
@@ -79,6 +85,7 @@
   static constexpr bool kIsTls = !std::is_same_v<Stream, boost::beast::tcp_stream>;
   enum class State { kIdle, kReading, kWaitingForResponse, kWriting };
   static constexpr std::size_t kReadChunkBytes = 8192;
+  static constexpr int kUnavailable = 503;
   /// Bytes of the read buffer of an idle connection. Small, as thousands of connections may be idle.
   static constexpr std::size_t kIdleReadBytes = 512;
   /// Memory of one header field beside its text: a field without a value takes 146 bytes in the parser and in the
@@ -111,11 +118,12 @@
   void ReadHeader() {
     m_state = State::kReading;
     m_header_memory = 0;
+    if (m_shared->is_refusing) return RefuseEvicted();
     m_shared->SetWaiting(this);
     Lowest().expires_after(m_shared->options.header_timeout);
     if (!HoldForReading()) return RefuseForMemory();
     boost::beast::http::async_read_header(m_stream, m_buffer, *m_parser, [self = Self()](ErrorCode ec, std::size_t) {
-      if (self->m_is_evicted) return self->RefuseForMemory();
+      if (self->m_is_evicted) return self->RefuseEvicted();
       if (ec) return self->RejectRequest(ec);
       self->AcceptBody();
     });
@@ -130,7 +138,7 @@
     if (!boost::beast::iequals(expect, "100-continue")) return ReadBody();
     static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
     boost::asio::async_write(m_stream, boost::asio::buffer(kContinue), [self = Self()](ErrorCode ec, std::size_t) {
-      if (self->m_is_evicted) return self->RefuseForMemory();
+      if (self->m_is_evicted) return self->RefuseEvicted();
       if (ec) return self->Close();
       self->ReadBody();
     });
@@ -141,7 +149,7 @@
     if (!HoldForReading()) return RefuseForMemory();
     ++m_shared->body_reads;
     boost::beast::http::async_read_some(m_stream, m_buffer, *m_parser, [self = Self()](ErrorCode ec, std::size_t) {
-      if (self->m_is_evicted) return self->RefuseForMemory();
+      if (self->m_is_evicted) return self->RefuseEvicted();
       if (ec) return self->RejectRequest(ec);
       self->ReadBody();
     });
@@ -183,21 +191,39 @@
   void GiveUp() {
     if (m_is_closed || m_state == State::kWaitingForResponse) return;
     if (m_state != State::kReading) return Close();
-    // The pending operation refers to the buffer and the parser, so they are released when it has ended.
+    EndReading();
+  }
+
+  /// Ends the pending operation. It refers to the buffer and the parser, so they are released when it has ended.
+  void EndReading() {
     m_is_evicted = true;
     ErrorCode ignored;
     Lowest().socket().cancel(ignored);
   }
 
+  void RefuseEvicted() {
+    if (!m_shared->is_refusing) return RefuseForMemory();
+    m_discards_rest = true;
+    HttpResponse response =
+        ProblemResponse(kUnavailable, Error{ErrorId::kQueueFull, "request", "the instance stops"}, Verdict::kNotRun);
+    response.headers.emplace_back("Retry-After", "1");
+    Refuse(std::move(response));
+  }
+
   void RefuseForMemory() {
     ++m_shared->refused_for_memory;
+    HttpResponse response = ProblemResponse(
+        kUnavailable, Error{ErrorId::kQueueFull, "request", "too much memory held by requests"}, Verdict::kNotRun);
+    response.headers.emplace_back("Retry-After", "1");
+    Refuse(std::move(response));
+  }
+
+  /// Releases what was read of the request, and closes the connection after the response.
+  void Refuse(HttpResponse response) {
     m_parser.reset();
     m_buffer.clear();
     m_buffer.shrink_to_fit();
     m_shared->budget.Release(this);
-    HttpResponse response = ProblemResponse(
-        503, Error{ErrorId::kQueueFull, "request", "too much memory held by requests"}, Verdict::kNotRun);
-    response.headers.emplace_back("Retry-After", "1");
     Send(std::move(response), false);
   }
 
@@ -260,11 +286,24 @@
     boost::beast::http::async_write(m_stream, m_response, [self = Self()](ErrorCode ec, std::size_t) {
       const bool keeps_alive = self->m_response.keep_alive();
       self->m_response = {};
+      if (!ec && self->m_discards_rest) return self->DiscardRest();
       if (ec || !keeps_alive) return self->Close();
       self->WaitForRequest();
     });
   }
 
+  /// Reads until the client closes the connection. Closing it with unread bytes would reset it, and the client could
+  /// lose the response.
+  void DiscardRest() {
+    ErrorCode ignored;
+    Lowest().socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    Lowest().expires_after(m_shared->options.body_timeout);
+    Lowest().async_read_some(m_buffer.prepare(m_buffer.max_size()), [self = Self()](ErrorCode ec, std::size_t) {
+      if (ec) return self->Close();
+      self->DiscardRest();
+    });
+  }
+
   void CloseWhenIdle() {
     m_shutdown_timer.expires_after(kShutdownGracePeriod);
     m_shutdown_timer.async_wait([self = Self()](ErrorCode ec) {
@@ -301,6 +340,7 @@
   std::size_t m_header_memory = 0;
   State m_state = State::kIdle;
   bool m_is_evicted = false;
+  bool m_discards_rest = false;  ///< after the response, until the client closes the connection
   bool m_is_closed = false;
 };
 
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -31,6 +31,9 @@
   /// Refuses the request that is being read, or closes the connection if it is idle or its client does not take the
   /// response. Does nothing while a complete request waits for its response. May be called from any thread.
   virtual void Evict() = 0;
+
+  /// Refuses the request that is being read, if there is one. May be called from any thread.
+  virtual void RefuseUnfinished() = 0;
 };
 
 /// Holds the state that a server and its connections share.
@@ -97,6 +100,7 @@
   const HttpServer::Handler handler;
   boost::asio::ip::tcp::acceptor acceptor;
   std::atomic<bool> is_shutting_down = false;
+  std::atomic<bool> is_refusing = false;  ///< refuses all requests that have not been read
   std::atomic<std::uint64_t> refused = 0;
   std::atomic<std::uint64_t> evicted_connections = 0;
   std::atomic<std::uint64_t> refused_for_body = 0;
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -351,6 +351,28 @@
   EXPECT_TRUE(m_server->WaitForShutdown(kTestTimeout));
 }
 
+// Guards against a refusal that the client does not get, because its connection is reset while it still sends.
+TEST_F(HttpTest, RefusedRequestGetsItsResponseWhileItsClientSends) {
+  Listen(Echo);
+  boost::asio::io_context context;
+  Tcp::socket socket(context);
+  socket.connect(*ParseEndpoint(m_server->address()));
+  const std::string part(1'000'000, 'x');
+  boost::asio::write(socket, boost::asio::buffer("POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n" + part));
+  while (m_server->LimitMetrics()["body_reads"] < 1) std::this_thread::sleep_for(milliseconds(1));
+  m_server->RefuseRequests();
+  // A server that closed the connection would have done so by now.
+  std::this_thread::sleep_for(milliseconds(100));
+  boost::system::error_code ec;
+  for (int i = 0; i < 3; ++i) boost::asio::write(socket, boost::asio::buffer(part), ec);
+  EXPECT_FALSE(ec) << ec.message();
+  std::string response;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(response), ec);
+  EXPECT_EQ(ec, boost::asio::error::eof);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 503")) << response;
+  EXPECT_NE(response.find("Jaymast-Verdict: not_run"), std::string::npos) << response;
+}
+
 // Guards against a bind failure that is ignored or does not name the address.
 TEST_F(HttpTest, PortInUseIsAnErrorWithTheAddress) {
   Listen(Echo);
