Examine only upstreams with enough free CPU for steps that need no ticket

Cause: for each waiting step of a queue without a policy, every placement pass examined all usable upstreams and built an option for each, although most had no free capacity. With 1,485 waiting steps and 350 upstreams one pass made 520,000 checks, and a pass may follow every end of a run. The bound of BacklogOfStepsIsPlacedWithBoundedWork covered queues with a policy only.

Change: candidates are taken from the front of the list sorted by free CPU, up to the first upstream that had too little at the start of the pass. Free capacity only shrinks within a pass, and an upstream without a slot was no option before, so the same upstreams are chosen. Gangs still get all upstreams, as reservations need full ones too.

--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -273,7 +273,12 @@
   StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   std::vector<UpstreamState*> candidates;
   if (!queue.policy) {
+    // Upstreams are reserved for a gang among the full ones, too.
+    const bool needs_free_cpu = !spec.is_gang && !spec.uses_spare_cpu;
     for (const auto& [free_cpu, upstream] : m_by_free_cpu) {
+      // All later ones had less free CPU.
+      if (needs_free_cpu && free_cpu < spec.demand.cpu_millis) break;
+      if (needs_free_cpu && upstream->FreeCapacity().cpu_millis < spec.demand.cpu_millis) continue;
       if (CanRunOn(spec, queue, *upstream)) candidates.push_back(upstream);
     }
     return candidates;
