Accept all waiting connections in one turn of the event loop

Cause: each turn of the loop accepted one connection; 37 instances open hundreds at once, and send their calls as soon as the kernel has put them into the backlog. Change: up to 64 connections are accepted in a turn. The counters accepted and accept_turns show it.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -17,6 +17,8 @@
 using boost::beast::tcp_stream;
 
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+/// Bounds the time for which other connections wait.
+constexpr int kMaxAcceptsPerTurn = 64;
 /// An evicted connection is closed within about a millisecond. The wait is bounded in case its client delays that.
 constexpr std::chrono::milliseconds kRoomPollInterval{1};
 constexpr int kMaxRoomPolls = 50;
@@ -57,7 +59,9 @@
 
   void Accept() {
     m_shared->acceptor.async_accept([self = shared_from_this()](boost::system::error_code ec, Tcp::socket socket) {
+      ++self->m_shared->accept_turns;
       if (!ec) self->Serve(std::move(socket));
+      if (!ec) self->ServeWaiting();
       if (self->m_shared->is_shutting_down) return self->Drain();
       if (ec) return self->RetryAccept();
       self->AcceptWhenThereIsRoom();
@@ -65,6 +69,17 @@
   }
 
  private:
+  /// Accepts the connections that wait in the backlog. One in each turn of a busy event loop leaves them there for
+  /// seconds, while their clients count them as open and send requests.
+  void ServeWaiting() {
+    boost::system::error_code ec;
+    m_shared->acceptor.non_blocking(true, ec);
+    for (int i = 0; !ec && i < kMaxAcceptsPerTurn && !m_shared->IsOverLimit(); ++i) {
+      Tcp::socket socket = m_shared->acceptor.accept(ec);
+      if (!ec) Serve(std::move(socket));
+    }
+  }
+
   /// Accepts the next connection once evicted ones are closed. Otherwise a burst of connections would find the server
   /// full, and the ones that arrive last would be refused.
   void AcceptWhenThereIsRoom() {
@@ -102,6 +117,7 @@
   }
 
   void Serve(Tcp::socket socket) {
+    ++m_shared->accepted;
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     if (!m_shared->MakeRoom()) {
@@ -194,6 +210,8 @@
           {"refused_bodies", static_cast<double>(m_shared->refused_for_body)},
           {"refused_headers", static_cast<double>(m_shared->refused_for_header)},
           {"refused_for_memory", static_cast<double>(m_shared->refused_for_memory)},
+          {"accepted", static_cast<double>(m_shared->accepted)},
+          {"accept_turns", static_cast<double>(m_shared->accept_turns)},
           {"requests", static_cast<double>(m_shared->requests)},
           {"body_reads", static_cast<double>(m_shared->body_reads)}};
 }
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -106,8 +106,10 @@
   std::atomic<std::uint64_t> refused_for_body = 0;
   std::atomic<std::uint64_t> refused_for_header = 0;
   std::atomic<std::uint64_t> refused_for_memory = 0;
-  std::atomic<std::uint64_t> requests = 0;    ///< read completely
-  std::atomic<std::uint64_t> body_reads = 0;  ///< steps in which bodies were read
+  std::atomic<std::uint64_t> accepted = 0;
+  std::atomic<std::uint64_t> accept_turns = 0;  ///< turns of the event loop in which connections were accepted
+  std::atomic<std::uint64_t> requests = 0;      ///< read completely
+  std::atomic<std::uint64_t> body_reads = 0;    ///< steps in which bodies were read
   MemoryBudget budget;
 
   std::mutex mutex;           ///< guards the members below
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -489,6 +489,23 @@
   EXPECT_EQ(client.LoadMetrics()["closed_by_miss"], 2);
 }
 
+// Load pattern: many connections that arrive while the event loop is busy.
+// Guards against connections that wait in the backlog because each turn of the loop accepts only one.
+TEST_F(HttpTest, WaitingConnectionsAreAcceptedInFewTurns) {
+  constexpr int kConnections = 100;
+  constexpr double kMaxTurns = 10;
+  Listen(Echo);
+  BlockThreads();
+  boost::asio::io_context context;
+  std::vector<Tcp::socket> sockets;
+  for (int i = 0; i < kConnections; ++i) {
+    sockets.emplace_back(context);
+    sockets.back().connect(*ParseEndpoint(m_server->address()));
+  }
+  ASSERT_TRUE(WaitFor([this] { return m_server->LimitMetrics().at("accepted") == kConnections; }));
+  EXPECT_LE(m_server->LimitMetrics().at("accept_turns"), kMaxTurns);
+}
+
 // Guards against clients that hold connections open with incomplete requests.
 TEST_F(HttpTest, IncompleteHeadersAndBodiesTimeOut) {
   HttpServerOptions options;
