--- a/src/instance/call_window_test.cc
+++ b/src/instance/call_window_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "instance/peer_clock.h"
+
 namespace jaymast {
 namespace {
 
@@ -49,6 +51,16 @@
   EXPECT_GE(m_window.limit(), CallWindow::kInitialLimit);
 }
 
+// Load pattern: a link with a latency of 60 ms, and an idle leader, whose clock is known from its heartbeats.
+// Guards against a window that closes because of the latency of the link, which a smaller one does not change.
+TEST_F(CallWindowTest, LatencyOfTheLinkIsNoOverload) {
+  constexpr Duration kLatency = milliseconds(60);
+  PeerClock clock;
+  clock.OnMessage(m_now - kLatency, m_now);
+  for (int i = 0; i < 20; ++i) Round(m_now + kLatency - *clock.ToPeer(m_now), 2 * kLatency);
+  EXPECT_GE(m_window.limit(), CallWindow::kInitialLimit);
+}
+
 // Guards against a window that collapses because all calls of one burst report the same delay.
 TEST_F(CallWindowTest, OneBurstCountsOnce) {
   Round(milliseconds(400));
--- a/src/instance/relay_test.cc
+++ b/src/instance/relay_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <utility>
@@ -23,10 +25,11 @@
     std::string address;
     Time deadline;
     std::function<void(Relay::Attempt)> done;
+    Time sent_at{};
   };
 
   void Call(Duration time_left = milliseconds(2800), const std::string& method = "POST") {
-    m_relay.OnCall({method, "", {}, ""}, m_now, m_now + time_left,
+    m_relay.OnCall({method, std::to_string(++m_calls), {}, ""}, m_now, m_now + time_left,
                    [this](const HttpResponse& response) { m_statuses.push_back(response.status); });
   }
   /// Completes calls that the leader answers after `time` each.
@@ -44,6 +47,8 @@
     m_relay.SetLeader(m_is_leader_known, m_leader, m_epoch, m_now);
     m_relay.OnTick(m_now);
   }
+  /// An answer of a leader that handled the call 2 ms after it was sent.
+  static Relay::Attempt HandledAtOnce() { return {true, true, false, {kOk, {}, ""}, milliseconds(2)}; }
   static Relay::Attempt Response(int status) { return {true, true, false, {status, {}, ""}}; }
 
   Time m_now{Duration(1'000'000)};
@@ -51,10 +56,13 @@
   std::string m_leader = "a";
   std::uint64_t m_epoch = 1;
   std::vector<SentAttempt> m_sent_attempts;
+  std::vector<std::string> m_requests;  ///< targets in the order in which they were sent
   std::vector<int> m_statuses;
-  Relay m_relay{{[this](const std::string& address, const HttpRequest&, const Relay::Deadlines& deadlines,
+  int m_calls = 0;
+  Relay m_relay{{[this](const std::string& address, const HttpRequest& request, const Relay::Deadlines& deadlines,
                         std::function<void(Relay::Attempt)> done) {
-                   m_sent_attempts.push_back({address, deadlines.attempt, std::move(done)});
+                   m_requests.push_back(request.target);
+                   m_sent_attempts.push_back({address, deadlines.attempt, std::move(done), m_now});
                  },
                  [](const HttpRequest& /*request*/, Duration /*waited*/, bool may_have_run) {
                    return HttpResponse{may_have_run ? kMayHaveRun : kRefused, {}, ""};
@@ -172,6 +180,85 @@
   EXPECT_EQ(m_sent_attempts.size(), 1U);
 }
 
+// Load pattern: the leader answered 40 calls a second after 400 ms, then answers at once; all callers state 300 ms.
+// Guards against refusals that go on because refused calls show nothing of the present.
+TEST_F(RelayTest, ShortCallsAreSentSoonAfterSlowAnswers) {
+  Tick(milliseconds(10));
+  for (int i = 0; i < 20; ++i) {
+    const std::size_t open = m_sent_attempts.size();
+    for (int call = 0; call < 16; ++call) Call();
+    Tick(milliseconds(400));
+    for (std::size_t sent = open; sent < open + 16; ++sent) m_sent_attempts[sent].done(HandledAtOnce());
+  }
+  m_sent_attempts.clear();
+  for (int i = 0; i < 100; ++i) {
+    Call(milliseconds(300));
+    Tick(milliseconds(10));
+  }
+  EXPECT_FALSE(m_sent_attempts.empty());
+}
+
+// Load pattern: the store takes 500 ms for each commit, and the leader handles each call at once.
+// Guards against reads that are refused because writes wait for the store.
+TEST_F(RelayTest, ReadsAreSentWhileWritesWaitForStore) {
+  Tick(milliseconds(10));
+  Call(milliseconds(2800), "GET");
+  m_sent_attempts.back().done(HandledAtOnce());
+  for (int i = 0; i < 16; ++i) Call();
+  m_statuses.clear();
+  m_sent_attempts.clear();
+  Call(milliseconds(2800), "GET");
+  for (int i = 0; i < 30; ++i) Tick(milliseconds(10));
+  EXPECT_EQ(m_sent_attempts.size(), 1U);
+  EXPECT_TRUE(m_statuses.empty());
+}
+
+// Load pattern: 100 calls wait for the next leader, which handles each call at once, with a commit after 400 ms.
+// Guards against refusals of calls that an idle leader would accept in time.
+TEST_F(RelayTest, CallsThatWaitedForLeaderAreSentToIt) {
+  Tick(milliseconds(10));
+  m_is_leader_known = false;
+  Tick(milliseconds(10));
+  for (int i = 0; i < 100; ++i) Call();
+  Tick(milliseconds(600));
+  m_is_leader_known = true;
+  for (int i = 0; i < 200; ++i) {
+    Tick(milliseconds(10));
+    std::vector<SentAttempt> open;
+    std::swap(open, m_sent_attempts);
+    for (SentAttempt& attempt : open) {
+      if (m_now - attempt.sent_at >= milliseconds(400)) {
+        attempt.done(HandledAtOnce());
+      } else {
+        m_sent_attempts.push_back(std::move(attempt));
+      }
+    }
+  }
+  EXPECT_EQ(std::count(m_statuses.begin(), m_statuses.end(), kOk), 100);
+  EXPECT_EQ(std::count(m_statuses.begin(), m_statuses.end(), kRefused), 0);
+}
+
+// Guards against calls that may have run and are never asked about again, as later calls go first.
+TEST_F(RelayTest, CallThatMayHaveRunIsSentAgainWhileOthersArrive) {
+  Tick(milliseconds(10));
+  Call();
+  const SentAttempt first = m_sent_attempts.back();
+  for (int i = 0; i < 15; ++i) Call();
+  Tick(milliseconds(1300));
+  first.done({false, true, false, {}});
+  m_sent_attempts.erase(m_sent_attempts.begin());
+  const std::size_t sent = m_requests.size();
+  for (int i = 0; i < 140; ++i) {
+    for (int call = 0; call < 3; ++call) Call();
+    Tick(milliseconds(10));
+    SentAttempt oldest = m_sent_attempts.front();
+    m_sent_attempts.erase(m_sent_attempts.begin());
+    oldest.done(HandledAtOnce());
+  }
+  EXPECT_GT(m_requests.size(), sent + 100);
+  EXPECT_EQ(std::count(m_requests.begin(), m_requests.end(), "1"), 2);
+}
+
 // Guards against calls that are dropped during a change of leader.
 TEST_F(RelayTest, CallWaitsForNextLeader) {
   Tick(milliseconds(10));
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -151,6 +151,20 @@
   EXPECT_LE(m_server->LimitMetrics().at("body_reads"), 4);
 }
 
+// Guards against headers of a client that replace those that the instance states for itself.
+TEST_F(HttpTest, FirstOfRepeatedHeadersIsKept) {
+  Listen([](const HttpRequest& request, const HttpResponder& responder) {
+    responder.Respond({200, {}, std::string(FindHeader(request.headers, "Jaymast-Deadline"))});
+  });
+  HttpClient client(m_pool, {});
+  std::promise<HttpResult> result;
+  HttpRequest request = Post("/", "");
+  request.headers = {{"Jaymast-Deadline", "own"}, {"jaymast-deadline", "client"}};
+  client.Send(m_server->address(), std::move(request), std::chrono::steady_clock::now() + kTestTimeout,
+              [&result](HttpResult value) { result.set_value(std::move(value)); });
+  EXPECT_EQ(result.get_future().get().response.body, "own");
+}
+
 // Guards against a request that was never sent being reported as possibly run, which prevents a retry.
 TEST_F(HttpTest, ConnectionRefusedIsNotSent) {
   boost::asio::io_context context;
@@ -435,6 +449,23 @@
   EXPECT_TRUE(WaitFor([this] { return m_server->open_connections() == 0; }));
 }
 
+// Load pattern: half of the connections wait for late responses, the others for responses that are in time.
+// Guards against requests that wait for a connection behind responses that nobody waits for.
+TEST_F(HttpTest, LateResponsesKeepNoRequestWaiting) {
+  Listen([](const HttpRequest& request, const HttpResponder& responder) {
+    if (request.body == "next") Echo(request, responder);
+  });
+  HttpClientOptions options;
+  options.max_connections_per_host = 4;
+  options.late_response_time = 10 * kTestTimeout;
+  HttpClient client(m_pool, options);
+  std::vector<std::future<HttpResult>> late;
+  for (int i = 0; i < 2; ++i) late.push_back(Send(client, m_server->address(), "late", milliseconds(50)));
+  for (auto& result : late) EXPECT_EQ(result.get().status, SendStatus::kUnknown);
+  for (int i = 0; i < 2; ++i) late.push_back(Send(client, m_server->address(), "poll", 10 * kTestTimeout));
+  EXPECT_EQ(Send(client, m_server->address(), "next", milliseconds(500)).get().status, SendStatus::kAnswered);
+}
+
 // Guards against requests that get no connection because all of them wait for late responses.
 TEST_F(HttpTest, LateResponsesLeaveHalfOfTheConnections) {
   std::mutex mutex;
