--- a/src/instance/cell_overload_recovery_test.cc
+++ b/src/instance/cell_overload_recovery_test.cc
@@ -51,8 +51,8 @@
 /// A cell whose instances need processor time, and its callers.
 class LoadedCell {
  public:
-  explicit LoadedCell(const LoopModel& model)
-      : m_cluster(kInstances, kUpstreams, kUpstreamCpuMillis, {}, MakeProcessor(model)) {
+  explicit LoadedCell(const LoopModel& model, int instances = kInstances)
+      : m_cluster(instances, kUpstreams, kUpstreamCpuMillis, {}, MakeProcessor(model)) {
     m_cluster.Run(seconds(3));
   }
 
@@ -137,6 +137,22 @@
   cell.ExpectNoAcceptedJobLost();
 }
 
+// Load pattern: 6 instances, a third of the capacity, and a store that takes 400 ms for each transaction.
+// Guards against calls that are refused although the leader is idle, as others wait for the store.
+TEST(CellSlowStoreTest, CallsAreServed) {
+  constexpr int kFewInstances = 6;
+  constexpr double kLowLoad = 0.3;
+  LoadedCell cell(kEventLoop, kFewInstances);
+  cell.Offer(kLowLoad, seconds(5));
+  for (const auto& instance : cell.cluster().instances) instance->store->fault = StoreFault::kSlow;
+  cell.Offer(kLowLoad, seconds(2));
+  const Time from = cell.now();
+  cell.Offer(kLowLoad, seconds(10));
+  const Time to = cell.now();
+  cell.Offer(kLowLoad, RetryingCallers::kTimeLimit);
+  EXPECT_GE(cell.ServedShare(from, to), kMinServedShare);
+}
+
 // Guards against goodput that falls when more is offered than the leader can handle.
 TEST_P(CellOverloadRecoveryTest, GoodputHoldsBeyondCapacity) {
   constexpr std::array kLoads = {0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 4.0};
