Keep the first of repeated headers in relayed requests

Found by the review: a client's Jaymast-Sent-At or Jaymast-Deadline replaced that of its instance, as the last header of a name was sent. A client could close its instance's window of calls for all others.

--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -28,8 +28,11 @@
   http::request<http::string_body> message;
   message.method_string(request.method);
   message.target(request.target);
-  message.set(http::field::host, host);
-  for (const auto& [name, value] : request.headers) message.set(name, value);
+  // The first header of a name counts, as for the receiver of a relayed request.
+  for (const auto& [name, value] : request.headers) {
+    if (message.count(name) == 0) message.set(name, value);
+  }
+  if (message.count(http::field::host) == 0) message.set(http::field::host, host);
   // The body is sent at once, so an interim response would be taken for the final one.
   message.erase(http::field::expect);
   message.body() = std::move(request.body);
