--- a/src/net/http_client_host.cc
+++ b/src/net/http_client_host.cc
@@ -141,6 +141,7 @@
   }
   for (const ConnectionPtr& connection : silent) CloseIdleIfSilentSince(connection->sent_at());
   for (const ConnectionPtr& connection : expired) connection->Close();
+  if (!silent.empty() && !m_queued.empty()) DispatchQueued();
 }
 
 /// @return whether the connection waited for a late response
@@ -183,11 +184,14 @@
   UpdateGauges();
 }
 
-/// Makes room for one more connection. Half of them may wait for late responses while requests are queued.
+/// Makes room for one more connection. Half of them may wait for late responses while requests are queued, unless the
+/// oldest one has been silent for kSilentTime.
 /// @return false if the limit is reached
 bool HttpClientHost::MakeRoom() {
   if (m_open.size() < m_options.max_connections_per_host) return true;
-  if (m_late.size() <= m_options.max_connections_per_host / 2) return false;
+  if (m_late.empty()) return false;
+  const bool is_silent = m_late.front().connection->sent_at() + kSilentTime <= std::chrono::steady_clock::now();
+  if (!is_silent && m_late.size() <= m_options.max_connections_per_host / 2) return false;
   // A copy, as closing removes the element.
   const ConnectionPtr oldest = m_late.front().connection;
   oldest->Close();
