--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -209,8 +209,9 @@
   const std::int64_t margin_ms = std::min(kResponseMarginMs, timeout_ms / kMarginDivisor);
   const Time deadline = m_now + std::chrono::milliseconds(std::max<std::int64_t>(1, timeout_ms - margin_ms));
   // Unique across instances and restarts: no two processes with one address start in the same microsecond.
-  request.headers.emplace_back(
-      kCallIdHeader, m_address + "-" + std::to_string(ToMicros(m_started_at)) + "-" + std::to_string(++m_call_count));
+  request.headers.emplace(
+      request.headers.begin(), kCallIdHeader,
+      m_address + "-" + std::to_string(ToMicros(m_started_at)) + "-" + std::to_string(++m_call_count));
   m_relay.OnCall(std::move(request), m_now, deadline, std::move(done));
 }
 
