--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -327,6 +327,7 @@
   HttpClient client(m_pool, options);
   for (std::size_t round = 0; round < kRounds; ++round) {
     std::vector<std::future<HttpResult>> results;
+    results.reserve(kBurst);
     for (std::size_t i = 0; i < kBurst; ++i) {
       results.push_back(Send(client, m_server->address(), "late", milliseconds(50)));
     }
@@ -487,6 +488,7 @@
   options.late_response_time = 10 * kTestTimeout;
   HttpClient client(m_pool, options);
   std::vector<std::future<HttpResult>> late;
+  late.reserve(4);
   for (int i = 0; i < 2; ++i) late.push_back(Send(client, m_server->address(), "late", milliseconds(50)));
   for (auto& result : late) EXPECT_EQ(result.get().status, SendStatus::kUnknown);
   for (int i = 0; i < 2; ++i) late.push_back(Send(client, m_server->address(), "poll", 10 * kTestTimeout));
@@ -509,6 +511,7 @@
   options.late_response_time = 10 * kTestTimeout;
   HttpClient client(m_pool, options);
   std::vector<std::future<HttpResult>> late;
+  late.reserve(4);
   for (int i = 0; i < 4; ++i) late.push_back(Send(client, m_server->address(), "late", milliseconds(200)));
   for (auto& result : late) EXPECT_EQ(result.get().status, SendStatus::kUnknown);
   EXPECT_TRUE(WaitFor([&client] { return client.LoadMetrics()["late_connections"] == 4; }));
@@ -529,6 +532,7 @@
   BlockThreads();
   boost::asio::io_context context;
   std::vector<Tcp::socket> sockets;
+  sockets.reserve(kConnections);
   for (int i = 0; i < kConnections; ++i) {
     sockets.emplace_back(context);
     sockets.back().connect(*ParseEndpoint(m_server->address()));
