--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -99,9 +99,9 @@
   std::map<std::uint64_t, CallPtr> m_calls;  ///< by number, in the order of arrival
   std::set<std::uint64_t> m_waiting;         ///< numbers of calls that wait until fewer are open at the leader
   std::uint64_t m_call_count = 0;
-  CallWindow m_window;     ///< of the present leader
-  Time m_next_probe_at{};  ///< when a call is sent although recent answers took longer than it has
-  std::uint64_t m_sent_waiting = 0;
+  CallWindow m_window;               ///< of the present leader
+  Time m_next_probe_at{};            ///< when a call is sent although recent answers took longer than it has
+  std::uint64_t m_sent_waiting = 0;  ///< calls that were sent after they had waited
   ResponseTimes m_response_times;
   bool m_is_leader_known = false;
   std::string m_leader_address;
--- a/src/instance/response_times.h
+++ b/src/instance/response_times.h
@@ -5,12 +5,10 @@
 #include <optional>
 
 #include "base/time.h"
+#include "instance/call_kind.h"
 
 namespace jaymast {
 
-/// Whether a call needs a transaction of the store.
-enum class CallKind { kRead, kWrite };
-
 /// Knows how soon the leader has recently answered calls.
 class ResponseTimes {
  public:
@@ -35,7 +33,7 @@
 
   Recent& Advance(CallKind kind, Time now);
 
-  std::array<Recent, 2> m_recent;  ///< by kind
+  std::array<Recent, EnumNames<CallKind>::kNames.size()> m_recent;  ///< by kind
 };
 
 }  // namespace jaymast
--- a/src/instance/tick_pacer.h
+++ b/src/instance/tick_pacer.h
@@ -9,7 +9,8 @@
 /// Decides when the tick that follows an event takes place.
 ///
 /// While events keep arriving, a tick is due all the time. Its cost grows with the backlog, so ticks without a pause
-/// between them would leave the loop no time to read the messages of other instances and of clients.
+/// between them would leave the loop no time to read the messages of other instances and of clients. The pause delays
+/// leases, syncs and heartbeats too, so it is bounded.
 class TickPacer {
  public:
   /// Delay after an event, so that one tick handles all calls of a burst.
@@ -22,7 +23,7 @@
   Time NextTickAt(Time now) const;
 
  private:
-  static constexpr std::int64_t kPauseFactor = 2;  ///< ticks take at most a third of the time
+  static constexpr std::int64_t kPauseFactor = 2;  ///< ticks of up to 25 ms take at most a third of the time
   static constexpr Duration kMaxPause{50'000};     ///< a single long tick, after a takeover for example, delays nothing
 
   Time m_paused_until{};
