--- a/review/standin-2/site_standin.py
+++ b/review/standin-2/site_standin.py
@@ -20,13 +20,23 @@
 SILENT = object()  # a call that gets no answer; its connection delivers nothing further
 
 
+PORTS_GIVEN = set()
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind((HOST, 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Ports that no socket uses, below those that the system gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10000, 32000)
+        if port in PORTS_GIVEN:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        PORTS_GIVEN.add(port)
+        ports.append(port)
     return ports
 
 
