--- a/review/standin-2/site_standin.py
+++ b/review/standin-2/site_standin.py
@@ -24,10 +24,12 @@
 
 
 def free_ports(count):
-    """Ports that no socket uses, below those that the system gives to outgoing connections."""
+    """Ports that no socket uses, below those that the system gives to outgoing connections. Scripts that run at the same
+    time choose from different ones."""
+    first = 10000 + os.getpid() % 200 * 100
     ports = []
     while len(ports) < count:
-        port = random.randrange(10000, 32000)
+        port = random.randrange(first, first + 100)
         if port in PORTS_GIVEN:
             continue
         with socket.socket() as probe:
