Review stand-ins: remove the temporary folder

Cause: a script left its temporary folder behind. Change: it is removed at the end. Result: each case once with and once without its disruption: broken and held, no folder is left.

--- a/review/standin-2/site_standin.py
+++ b/review/standin-2/site_standin.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -503,6 +504,7 @@
             if entry.process is not None and entry.process.poll() is None:
                 entry.process.kill()
                 entry.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def new_id():
