--- a/review/standin-2/site_standin.py
+++ b/review/standin-2/site_standin.py
@@ -262,6 +262,12 @@
         self.is_up = False
         self.server.life += 1
         self.runs = {}
+        asyncio.get_running_loop().call_later(4.5, self.expire, self.born)
+
+    def expire(self, born):
+        """Removes the entry after three reports are missing, unless the runner has started again."""
+        if not self.is_up and self.born == born:
+            self.site.store.put("servers", self.id, None)
 
     def return_as(self, labels=None, capacity=None):
         """Starts again under its id and address, and holds and knows nothing of before."""
