--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,42 +1,65 @@
-"""ROUTE: a start on a runner without the required label, which restarted as another kind under its id."""
+"""UNASKED: a cancel is acknowledged, and the submission is accepted and run after it."""
 import asyncio
 import os
+import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standin-2"))
 from site_standin import Site, new_id, play  # noqa: E402
 
-DARK_S = 0.7
+CANCEL_S = 3.0  # cancel_ms
+STOP_S = 0.4    # stopMs
+CONTACT_S = 3.0  # contactMs
 
 
 async def case(site, trouble):
-    for number in range(24):
-        site.add_runner("tampere", ["a" if number < 6 else "b", f"r1-{number // 3}"],
-                        {"cpu": 32000, "memMb": 131072, "gpus": 0})
+    for number in range(4):
+        site.add_runner("tampere", ["a", f"r1-{number}"], {"cpu": 32000, "memMb": 131072, "gpus": 0})
     await site.begin(3)
+    leader = await site.leader()
+    others = [e for e in site.entries if e is not leader]
     if trouble:
-        # All runners of one rack, 3 of 24.
-        for runner in site.runners[:3]:
-            runner.lose_power()
-        await asyncio.sleep(DARK_S)
-        for runner in site.runners[:3]:
-            runner.return_as(labels=["b", runner.labels[1]])
-    names = []
-
-    async def submit(entry):
+        leader.signal(signal.SIGKILL)
+    cancelled = {}
+
+    async def hurried(first, second):
+        """Hands a submission in, leaves after 0.3 s without an answer, and cancels it at another entry."""
         name = new_id()
-        names.append(name)
-        body = {"spec": "work=2000", "steps": [{"count": 12, "cpu": 4000, "memMb": 256, "estimateMs": 2000,
-                                                "requiredLabel": "a"}]}
-        await site.call(entry.front, "POST", "/work/" + name, body)
-
-    await asyncio.gather(*[submit(e) for e in site.entries])
-    await asyncio.sleep(6.0)
-    wrong = [(t, r, labels, task) for t, r, labels, task, _ in site.starts if "a" not in labels]
-    for t, runner, labels, task in wrong:
-        site.record(f"at {t:.3f} {task} was started on {runner}, labels {labels}; it requires label a")
-    return f"ROUTE: {len(wrong)} of {len(site.starts)} starts without the required label" if wrong else ""
+        body = {"spec": "last", "steps": [{"count": 1, "cpu": 1000, "memMb": 256, "estimateMs": 20000,
+                                           "longRunning": True}]}
+        await site.call(first.front, "POST", "/work/" + name, body, timeout=0.3)
+        status, _ = await site.call(second.front, "DELETE", "/work/" + name)
+        if status in (200, 410):
+            cancelled[name] = site.record.now()
+
+    async def patient(entry):
+        body = {"spec": "work=500", "steps": [{"count": 1, "cpu": 1000, "memMb": 256, "estimateMs": 500}]}
+        await site.call(entry.front, "POST", "/work/" + new_id(), body)
+
+    # 8 of 20 consumers leave early, a share of 0.4.
+    await asyncio.gather(*[hurried(others[i % 2], others[(i + 1) % 2]) for i in range(8)],
+                         *[patient(others[i % 2]) for i in range(12)])
+    calm_from = 0.0
+    if trouble:
+        await asyncio.sleep(1.0)
+        leader.launch()
+        calm_from = site.record.now() + CONTACT_S
+    await asyncio.sleep(9.0)
+    late = []
+    for name, acknowledged in cancelled.items():
+        runs = [(t, run) for t, _, _, task, run in site.starts if task.startswith(name)]
+        ends = {run: t for t, _, task, run, _ in site.ends if task.startswith(name)}
+        for began, run in runs:
+            end = ends.get(run, site.record.now())
+            if end > max(acknowledged + CANCEL_S + STOP_S, calm_from):
+                site.record(f"{name}: cancel acknowledged at {acknowledged:.3f}; run {run} began at {began:.3f} and "
+                            f"was at work at {end:.3f}")
+                late.append(name)
+                status, text = await site.call(others[0].front, "GET", "/work/" + name)
+                site.record(f"{name}: state afterwards {status} {text}")
+    site.record(f"{len(cancelled)} cancels acknowledged, {len(late)} of these submissions run on")
+    return f"UNASKED: {len(late)} submissions run on after their acknowledged cancel" if late else ""
 
 
 play(case, HERE)
