--- a/review/7/case.py
+++ b/review/7/case.py
@@ -28,14 +28,14 @@
         name = new_id()
         body = {"spec": "last", "steps": [{"count": 1, "cpu": 1000, "memMb": 256, "estimateMs": 20000,
                                            "longRunning": True}]}
-        await site.call(first.front, "POST", "/work/" + name, body, timeout=0.3)
-        status, _ = await site.call(second.front, "DELETE", "/work/" + name)
+        await site.call(first.front, "POST", "/jobs/" + name, body, timeout=0.3)
+        status, _ = await site.call(second.front, "DELETE", "/jobs/" + name)
         if status in (200, 410):
             cancelled[name] = site.record.now()
 
     async def patient(entry):
         body = {"spec": "work=500", "steps": [{"count": 1, "cpu": 1000, "memMb": 256, "estimateMs": 500}]}
-        await site.call(entry.front, "POST", "/work/" + new_id(), body)
+        await site.call(entry.front, "POST", "/jobs/" + new_id(), body)
 
     # 8 of 20 consumers leave early, a share of 0.4.
     await asyncio.gather(*[hurried(others[i % 2], others[(i + 1) % 2]) for i in range(8)],
@@ -56,7 +56,7 @@
                 site.record(f"{name}: cancel acknowledged at {acknowledged:.3f}; run {run} began at {began:.3f} and "
                             f"was at work at {end:.3f}")
                 late.append(name)
-                status, text = await site.call(others[0].front, "GET", "/work/" + name)
+                status, text = await site.call(others[0].front, "GET", "/jobs/" + name)
                 site.record(f"{name}: state afterwards {status} {text}")
     site.record(f"{len(cancelled)} cancels acknowledged, {len(late)} of these submissions run on")
     return f"UNASKED: {len(late)} submissions run on after their acknowledged cancel" if late else ""
--- a/review/standin-2/site_standin.py
+++ b/review/standin-2/site_standin.py
@@ -417,7 +417,7 @@
 
 
 class Site:
-    """`service` and one queue `q` at the prefix /work/ of the host site.example, without a policy."""
+    """`service` and one queue `q` at the prefix /jobs/ of the host site.example, without a policy."""
 
     def __init__(self, folder):
         self.record = Record(os.path.join(folder, "record.txt"))
@@ -427,7 +427,7 @@
         self.entries, self.runners = [], []
         self.starts = []  # (time, runner, labels, task, run)
         self.ends = []    # (time, runner, task, run, how)
-        self.routes = [{"name": "q", "host": "site.example", "prefix": "/work/", "kind": "non_idempotent",
+        self.routes = [{"name": "q", "host": "site.example", "prefix": "/jobs/", "kind": "non_idempotent",
                         "timeoutMs": 3000, "targetDurationMs": 3000, "priority": 1, "service": self.service,
                         "maxAttempts": 4, "stretch": 4.0, "public": False}]
 
