Events that tell how a cancel overtook its submission

Cause: the leader emitted nothing for the cancel of an unknown job, and job.accepted did not name the call, so the events could not tell a relay that changes the order of its calls from a submission that waited at another instance. Nothing showed calls whose clients have left.

Change: the event cancel.unknown_job, the id of the call in job.accepted, and the metric jaymast_client_abandoned_requests.

Result: no decision is changed; HttpTest.CountsRequestsWhoseClientLeft, 1 new test.

--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -145,7 +145,13 @@
     m_ports.events.Emit("job.hidden", {{"job", id.value()}, {"team", team.value()}});
     return reply({is_confirmed ? ClientOutcome::kNoSuchJob : ClientOutcome::kNotLeader});
   }
-  if (call.action == ClientAction::kCancel) return Cancel(id, reply);
+  if (call.action == ClientAction::kCancel) {
+    if (job == nullptr && is_confirmed) {
+      m_ports.events.Emit("cancel.unknown_job",
+                          {{"job", id.value()}, {"queue", queue->id.value()}, {"call", call.call_id}});
+    }
+    return Cancel(id, reply);
+  }
   if (call.action == ClientAction::kSubmit && job == nullptr) {
     if (m_leadership.is_store_stalled) return ReplyUndecided(call, queue->priority, reply);
     return Submit(call, *queue, id, team, reply);
@@ -225,6 +231,7 @@
   m_ports.events.Emit("job.accepted", {{"job", id.value()},
                                        {"queue", queue.id.value()},
                                        {"team", team.value()},
+                                       {"call", call.call_id},
                                        {"config_version", std::to_string(m_config->version)},
                                        {"config_age_ms", AgeMs(FeedTopic::kConfiguration)}});
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -213,7 +213,8 @@
           {"accepted", static_cast<double>(m_shared->accepted)},
           {"accept_turns", static_cast<double>(m_shared->accept_turns)},
           {"requests", static_cast<double>(m_shared->requests)},
-          {"body_reads", static_cast<double>(m_shared->body_reads)}};
+          {"body_reads", static_cast<double>(m_shared->body_reads)},
+          {"abandoned_requests", static_cast<double>(m_shared->abandoned)}};
 }
 
 void HttpServer::BeginShutdown() {
--- a/src/net/http_server_connection.h
+++ b/src/net/http_server_connection.h
@@ -234,7 +234,9 @@
     Lowest().socket().async_wait(
         boost::asio::ip::tcp::socket::wait_read, [self = Self(), sequence = m_sequence + 1](ErrorCode ec) {
           if (ec || self->m_state != State::kWaitingForResponse || self->m_sequence != sequence) return;
-          if (self->IsClosedByClient()) self->Close();
+          if (!self->IsClosedByClient()) return;
+          ++self->m_shared->abandoned;
+          self->Close();
         });
   }
 
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -110,6 +110,7 @@
   std::atomic<std::uint64_t> accept_turns = 0;  ///< turns of the event loop in which connections were accepted
   std::atomic<std::uint64_t> requests = 0;      ///< read completely
   std::atomic<std::uint64_t> body_reads = 0;    ///< steps in which bodies were read
+  std::atomic<std::uint64_t> abandoned = 0;     ///< requests whose client closed the connection before the response
   MemoryBudget budget;
 
   std::mutex mutex;           ///< guards the members below
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -589,6 +589,22 @@
   EXPECT_EQ(gone.get_future().wait_for(kTestTimeout), std::future_status::ready);
 }
 
+// Guards against requests without a client that no metric shows, and against served ones that count as such.
+TEST_F(HttpTest, CountsRequestsWhoseClientLeft) {
+  std::promise<void> gone;
+  Listen([&gone](const HttpRequest& request, const HttpResponder& responder) {
+    if (request.body == "served") return responder.Respond({200, {}, ""});
+    responder.OnGone([&gone] { gone.set_value(); });
+  });
+  BlockingHttpClient served;
+  ASSERT_EQ(served.Call(m_server->address(), Post("/", "served"), kTestTimeout).response.status, 200);
+  HttpClient client(m_pool, {});
+  client.Send(m_server->address(), Post("/", ""), std::chrono::steady_clock::now() + milliseconds(50),
+              [](const HttpResult&) {});
+  ASSERT_EQ(gone.get_future().wait_for(kTestTimeout), std::future_status::ready);
+  EXPECT_EQ(m_server->LimitMetrics().at("abandoned_requests"), 1);
+}
+
 // Guards against a graceful shutdown aborting a request in flight (G10).
 TEST_F(HttpTest, ShutdownFinishesTheRequestInFlight) {
   std::promise<HttpResponder> received;
