Bound the duration of a call

Cause: a client may state any timeout, and a call that may have run stays open until then. A submission could wait for a leader for longer than anybody remembers that it was cancelled or refused, and calls could outlive the 12 s for which an ended term is kept for them. A timeout near 2^63 overflowed.

Change: a call is open for 10 s at most, and then answered as before at its deadline.

--- a/src/cell/client_call.h
+++ b/src/cell/client_call.h
@@ -5,11 +5,15 @@
 #include <optional>
 #include <string>
 
+#include "base/time.h"
 #include "jobs/cell_config.h"
 #include "jobs/job.h"
 
 namespace jaymast {
 
+/// No call is open for longer, also if its client states a longer timeout.
+inline constexpr Duration kMaxCallDuration{10'000'000};
+
 enum class ClientAction { kSubmit, kReadState, kCancel, kReadQueue };
 
 /// A decoded call of a client.
--- a/src/instance/cell_deadline_test.cc
+++ b/src/instance/cell_deadline_test.cc
@@ -53,5 +53,17 @@
   ExpectNoViolation(m_cluster);
 }
 
+// Guards against calls that stay open for longer than a leader remembers the cancels of their jobs.
+TEST_F(CallDeadlineTest, CallOfPatientClientEndsAfterTheLongestDuration) {
+  constexpr std::int64_t kPatienceMs = 60'000;
+  for (const auto& instance : m_cluster.instances) instance->store->fault = StoreFault::kNoReply;
+  m_cluster.At(m_leader).is_paused = true;
+  m_cluster.Call((m_leader + 1) % kInstances, "POST", "job", "tasks=1", "key", kPatienceMs);
+  m_cluster.Run(kMaxCallDuration - seconds(1));
+  EXPECT_EQ(m_cluster.LastStatus("POST job"), -1) << "a later leader may tell what became of it";
+  m_cluster.Run(seconds(1));
+  EXPECT_EQ(m_cluster.LastStatus("POST job"), FakeClientCodec::kMayHaveRun);
+}
+
 }  // namespace
 }  // namespace jaymast
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -38,7 +38,7 @@
 constexpr std::int64_t kResponseMarginMs = 120;
 constexpr std::int64_t kMarginDivisor = 4;  ///< the margin is at most the timeout divided by this
 /// An ended term is kept for this time, as open calls may refer to it. No call has a later deadline.
-constexpr Duration kEndedTermRetention{12'000'000};
+constexpr Duration kEndedTermRetention = kMaxCallDuration + Duration{2'000'000};
 /// Time allowed beyond the timeout of a policy call made by another instance.
 constexpr std::int64_t kPolicyMarginMs = 200;
 /// A leader does not yield right after a takeover: until then it does not know all followers.
@@ -205,7 +205,8 @@
 
 void CellInstance::OnClientRequest(HttpRequest request, std::function<void(HttpResponse)> done) {
   const std::int64_t stated_ms = m_ports.codec.ClientTimeoutMs(request);
-  const std::int64_t timeout_ms = stated_ms > 0 ? stated_ms : kDefaultClientTimeoutMs;
+  const std::int64_t timeout_ms =
+      std::min(stated_ms > 0 ? stated_ms : kDefaultClientTimeoutMs, ToMillis(kMaxCallDuration));
   const std::int64_t margin_ms = std::min(kResponseMarginMs, timeout_ms / kMarginDivisor);
   const Time deadline = m_now + std::chrono::milliseconds(std::max<std::int64_t>(1, timeout_ms - margin_ms));
   // Unique across instances and restarts: no two processes with one address start in the same microsecond.
