Read tables of the store with a class of its own

Cause: the leader will read a second table when it takes over, and the paged read of the records is part of CellTerm.

Change: TableReader reads a table page by page. No change of behaviour.

--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -15,8 +15,6 @@
 constexpr Duration kLoadRetryDelay{50'000};
 /// Delay after an unsuccessful read of the learned speeds, which nothing waits for.
 constexpr Duration kSpeedLoadRetryDelay{1'000'000};
-/// Delay after a page that does not continue the one before.
-constexpr Duration kNoProgressDelay{1'000'000};
 /// If the store has not responded for this time, another instance may be about to take over.
 constexpr Duration kStoreStallThreshold{350'000};
 /// In a longer store outage new jobs are refused at once: with a working store another instance would have taken over.
@@ -43,14 +41,17 @@
           store, record, version, [this] { return m_is_loaded ? m_scheduler.CollectBatch() : CommitBatch{}; },
           on_deposed, m_request_tick),
       m_readiness_bound(record.unready_terms, now),
-      m_feeds(make_feeds(*this)) {}
+      m_feeds(make_feeds(*this)),
+      m_record_reader(store, m_events, kRecordTable,
+                      {[this](const StateScanReply& page) { OnRecords(page); },
+                       [this](std::int64_t store_now_ms) { FinishJobs(store_now_ms); }, m_request_tick}) {}
 
 void CellTerm::OnTick(Time now, std::int64_t unix_now_ms) {
   m_now = now;
   m_scheduler.SetNow(now);
   m_committer.OnTick(now);
-  const bool is_page_lost = m_is_reading && m_store.contact().ended_silences() != m_ended_silences;
-  if (!m_are_jobs_loaded && (is_page_lost || (!m_is_reading && now >= m_next_load_at))) Load();
+  const bool is_store_out = m_committer.IsStalled(now, kStoreOutageThreshold);
+  m_record_reader.OnTick(now, is_store_out);
   if (m_read_lease_bounds) {
     m_scheduler.LoadLeaseBounds(*std::exchange(m_read_lease_bounds, std::nullopt), m_leases_read_at_ms);
     m_are_leases_loaded = true;
@@ -84,8 +85,8 @@
 void CellTerm::HandOverUnready(const std::string& successor) {
   m_events.Emit("term.not_ready", {{"epoch", std::to_string(m_committer.epoch())},
                                    {"bound_ms", std::to_string(ToMillis(m_readiness_bound.bound()))},
-                                   {"rows", std::to_string(m_loaded_rows)},
-                                   {"bytes", std::to_string(m_loaded_bytes)},
+                                   {"rows", std::to_string(m_record_reader.rows())},
+                                   {"bytes", std::to_string(m_record_reader.bytes())},
                                    {"successor", successor}});
   m_committer.SetUnreadyTerms(m_committer.unready_terms() + 1);
   m_committer.HandOver(successor);
@@ -103,42 +104,9 @@
   CheckLoaded();
 }
 
-void CellTerm::Load() {
-  m_is_reading = true;
-  m_page_sent_at = m_now;
-  m_ended_silences = m_store.contact().ended_silences();
-  m_store.Scan(kRecordTable, m_next_key, "", m_page_sizer.limits(),
-               [this, number = ++m_page_number](const StateScanReply& reply) { OnPage(number, reply); });
-}
-
-void CellTerm::OnPage(std::uint64_t number, const StateScanReply& reply) {
-  if (number != m_page_number) return;
-  m_is_reading = false;
-  if (!reply.is_available) {
-    // An outage says nothing about the link. The time limit grew to 7.2 s in one of 9 s, and delayed the next page by
-    // it.
-    if (!m_committer.IsStalled(m_now, kStoreOutageThreshold)) m_page_sizer.OnFailure(m_now - m_page_sent_at);
-    m_next_load_at = m_now + kLoadRetryDelay;
-    return;
-  }
-  m_page_sizer.OnPage(m_now - m_page_sent_at);
-  if (reply.has_more && (reply.rows.empty() || reply.rows.back().key < m_next_key)) {
-    m_events.Emit("records.no_progress", {{"table", kRecordTable}, {"key", m_next_key}});
-    m_next_load_at = m_now + kNoProgressDelay;
-    return;
-  }
-  if (!reply.rows.empty()) m_readiness_bound.OnProgress();
-  for (const StateRow& row : reply.rows) {
-    ++m_loaded_rows;
-    m_loaded_bytes += row.value.size();
-    OnRow(row);
-  }
-  if (reply.has_more) {
-    // Continues just above the last key.
-    m_next_key = reply.rows.back().key + '\x01';
-    return m_request_tick();
-  }
-  FinishJobs(reply.now_ms);
+void CellTerm::OnRecords(const StateScanReply& page) {
+  if (!page.rows.empty()) m_readiness_bound.OnProgress();
+  for (const StateRow& row : page.rows) OnRow(row);
 }
 
 void CellTerm::LoadLeaseBounds() {
@@ -241,17 +209,17 @@
 void CellTerm::FinishJobs(std::int64_t store_now_ms) {
   for (const auto& [id, loaded] : m_loaded_jobs) AddJob(id, loaded, store_now_ms);
   m_events.Emit("term.jobs_loaded", {{"jobs", std::to_string(m_loaded_jobs.size())},
-                                     {"rows", std::to_string(m_loaded_rows)},
-                                     {"bytes", std::to_string(m_loaded_bytes)},
+                                     {"rows", std::to_string(m_record_reader.rows())},
+                                     {"bytes", std::to_string(m_record_reader.bytes())},
                                      {"took_ms", std::to_string(ToMillis(m_now - m_began_at))}});
   m_loaded_jobs.clear();
   m_scheduler.FinishLoading();
-  m_are_jobs_loaded = true;
   CheckLoaded();
 }
 
 void CellTerm::CheckLoaded() {
-  if (m_is_loaded || !m_are_jobs_loaded || !m_are_leases_loaded || !m_has_config || !m_has_upstream_list) return;
+  const bool is_all_read = m_record_reader.is_complete() && m_are_leases_loaded && m_has_config && m_has_upstream_list;
+  if (m_is_loaded || !is_all_read) return;
   m_is_loaded = true;
   m_committer.SetUnreadyTerms(0);
   m_committer.MarkDirty();
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -15,6 +15,7 @@
 #include "cell/readiness_bound.h"
 #include "cell/scheduler.h"
 #include "cell/state_store.h"
+#include "instance/table_reader.h"
 
 namespace jaymast {
 
@@ -66,8 +67,7 @@
     std::map<std::size_t, RecordText> occurrences;
   };
 
-  void Load();
-  void OnPage(std::uint64_t number, const StateScanReply& reply);
+  void OnRecords(const StateScanReply& page);
   void LoadLeaseBounds();
   void OnLeaseBounds(const StateScanReply& reply);
   /// Reads the speeds that the earlier leader has learned. Nothing waits for them.
@@ -91,17 +91,9 @@
   GroupCommitter m_committer;
   ReadinessBound m_readiness_bound;
   std::unique_ptr<CellFeeds> m_feeds;
+  TableReader m_record_reader;
   std::map<JobId, LoadedJob> m_loaded_jobs;
-  std::string m_next_key;
-  PageSizer m_page_sizer;
-  Time m_page_sent_at{};
-  std::uint64_t m_page_number = 0;     ///< of the last read of a page
-  std::uint64_t m_ended_silences = 0;  ///< of the store when it was sent
-  std::size_t m_loaded_rows = 0;
-  std::size_t m_loaded_bytes = 0;
-  Time m_next_load_at{};
   Time m_next_lease_load_at{};
-  bool m_is_reading = false;
   bool m_is_reading_leases = false;
   int m_speed_reads_left = 3;
   bool m_is_reading_speeds = false;
@@ -110,7 +102,6 @@
   std::optional<LeaseBounds> m_read_lease_bounds;
   std::int64_t m_leases_read_at_ms = 0;  ///< store clock
   bool m_are_leases_loaded = false;
-  bool m_are_jobs_loaded = false;
   bool m_has_config = false;
   bool m_has_upstream_list = false;
   bool m_is_loaded = false;
