Remember the cancel of a job whose submission has not arrived

Cause: the leader answered the cancel of an unknown job and kept nothing of it, so any later arrival of the submission was accepted.

Change: EarlyCancels. The leader records the cancel before it answers, and a submission that arrives later is stored as cancelled. A leader that has been replaced can't record, so it no longer acknowledges a cancel that its successor does not know of.

--- a/src/cell/scheduler.cc
+++ b/src/cell/scheduler.cc
@@ -82,6 +82,11 @@
   }
 }
 
+void Scheduler::LoadEarlyCancels(const StateRow& row, std::int64_t store_now_ms) {
+  if (m_early_cancels.LoadRow(row, store_now_ms, m_now)) return;
+  m_ports.events.Emit("record.unreadable", {{"path", row.table + "/" + row.key}});
+}
+
 void Scheduler::OnConfig(std::shared_ptr<const CellConfig> config) {
   if (m_config != nullptr && config->version <= m_config->version) return;
   m_ports.events.Emit("config.in_force", {{"version", std::to_string(config->version)}});
@@ -144,9 +149,11 @@
   }
   batch.writes = m_log.TakeWrites();
   const std::vector<UpstreamId> withdrawn = PutLeaseBounds(batch);
+  const std::uint64_t last_cancel = PutEarlyCancels(batch);
   PutSpeeds(batch);
   if (!m_commit_queue.empty()) m_mark_dirty();
-  batch.on_committed = [this, batched_changes = std::move(batched_changes), withdrawn] {
+  batch.on_committed = [this, batched_changes = std::move(batched_changes), withdrawn, last_cancel] {
+    m_early_cancels.OnCommitted(last_cancel);
     for (const UpstreamId& id : withdrawn) {
       UpstreamState& upstream = m_upstreams[id];
       upstream.recorded_lease_end_ms = 0;
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -16,6 +16,7 @@
 #include "cell/cell_event_sink.h"
 #include "cell/cell_options.h"
 #include "cell/client_call.h"
+#include "cell/early_cancels.h"
 #include "cell/feed_freshness.h"
 #include "cell/group_committer.h"
 #include "cell/lease_record.h"
@@ -70,6 +71,9 @@
   void LoadJob(Job job, std::int64_t age_ms);
   /// @param store_now_ms store clock when the bounds were read, or earlier
   void LoadLeaseBounds(const LeaseBounds& bounds, std::int64_t store_now_ms);
+  /// Loads a row of cancels that earlier leaders have acknowledged.
+  /// @param store_now_ms store clock when the row was read, or earlier
+  void LoadEarlyCancels(const StateRow& row, std::int64_t store_now_ms);
   /// Adds the speeds that an earlier leader has learned. May come at any time.
   void LoadSpeeds(const std::vector<LearnedSlowness>& speeds);
   /// Computes the allocated capacity of upstreams and organisations from the recorded jobs.
@@ -127,6 +131,7 @@
   const UpstreamSpeeds& speeds() const { return m_speeds; }
   const RunTimeModel& run_times() const { return m_run_times; }
   const PolicyCallDispatcher& policy_calls() const { return m_policy_calls; }
+  const EarlyCancels& early_cancels() const { return m_early_cancels; }
   const WaitingWork& waiting_work() const { return m_waiting_work; }
   const PolicyCallPlanner& policy_planner() const { return m_policy_planner; }
 
@@ -207,7 +212,10 @@
   void Acknowledge(Job& job, const ClientReplyFunction& reply);
   void Submit(const ClientCall& call, const QueueConfig& queue, const JobId& id, const TeamId& team,
               const ClientReplyFunction& reply);
-  void Cancel(const JobId& id, const ClientReplyFunction& reply);
+  void Cancel(Job& job, const ClientReplyFunction& reply);
+  /// Cancels a job whose submission may arrive later.
+  void CancelUnknownJob(const ClientCall& call, const QueueConfig& queue, const JobId& id, const TeamId& team,
+                        const ClientReplyFunction& reply);
   std::int64_t CountWaitingJobs(const QueueId& queue) const;
   /// Time after which a caller that is refused during an outage of the store should retry, in seconds.
   std::int64_t OutageRetryAfterS(std::int64_t priority);
@@ -270,6 +278,9 @@
   void RecordSpeeds();
   /// Adds the learned speeds to the next transaction if they are due.
   void PutSpeeds(CommitBatch& batch);
+  /// Adds the changed rows of early cancels to the next transaction, as far as it has room.
+  /// @return number of the last cancel that it contains
+  std::uint64_t PutEarlyCancels(CommitBatch& batch);
   /// Extends the leases of an upstream.
   /// @return end of the leases in ms on the clock of the upstream, 0 if no lease may be granted
   std::int64_t GrantLease(UpstreamState& upstream);
@@ -415,6 +426,7 @@
   std::map<UpstreamId, UpstreamState> m_upstreams;
   std::map<TeamId, Resources> m_team_usage;
   RefusedCalls m_refused_calls;
+  EarlyCancels m_early_cancels;
   PolicyCallDispatcher m_policy_calls;
   PolicyCallPlanner m_policy_planner;
   AdmissionController m_admission;
--- a/src/cell/scheduler_clients.cc
+++ b/src/cell/scheduler_clients.cc
@@ -33,6 +33,10 @@
 
 double TypicalCallMs(const PolicyConfig& policy) { return policy.call_ms + policy.per_upstream_ms * kUpstreamsPerCall; }
 
+EarlyCancels::Key EarlyCancelKey(const QueueConfig& queue, const TeamId& team, const JobId& id) {
+  return {id, queue.id, queue.is_public ? TeamId() : team};
+}
+
 ClientReply MalformedReply(std::string reason) {
   ClientReply reply;
   reply.outcome = ClientOutcome::kMalformed;
@@ -146,11 +150,7 @@
     return reply({is_confirmed ? ClientOutcome::kNoSuchJob : ClientOutcome::kNotLeader});
   }
   if (call.action == ClientAction::kCancel) {
-    if (job == nullptr && is_confirmed) {
-      m_ports.events.Emit("cancel.unknown_job",
-                          {{"job", id.value()}, {"queue", queue->id.value()}, {"call", call.call_id}});
-    }
-    return Cancel(id, reply);
+    return job == nullptr ? CancelUnknownJob(call, *queue, id, team, reply) : Cancel(*job, reply);
   }
   if (call.action == ClientAction::kSubmit && job == nullptr) {
     if (m_leadership.is_store_stalled) return ReplyUndecided(call, queue->priority, reply);
@@ -215,8 +215,9 @@
   }
   SetObjective(job);
 
+  const bool is_cancelled = m_early_cancels.Contains(EarlyCancelKey(queue, team, id), m_now);
   const bool is_immediate = job.spec.repeat_count == 0 && !job.spec.steps.front().is_long_running;
-  if (is_immediate) {
+  if (is_immediate && !is_cancelled) {
     const AdmissionDecision decision = DecideAdmission(job, queue);
     if (!decision.is_admitted) return reply({ClientOutcome::kOverloaded, {}, 0, decision.retry_after_s});
   }
@@ -226,14 +227,15 @@
   m_active[id] = &accepted;
   MarkChanged(accepted);
   WhenCommitted(accepted, [reply] { reply({ClientOutcome::kAccepted}); });
-  if (!OpenDueOccurrences(accepted)) m_unopened[id] = &accepted;
-  if (is_immediate) CountAcceptedWork(accepted, queue);
   m_ports.events.Emit("job.accepted", {{"job", id.value()},
                                        {"queue", queue.id.value()},
                                        {"team", team.value()},
                                        {"call", call.call_id},
                                        {"config_version", std::to_string(m_config->version)},
                                        {"config_age_ms", AgeMs(FeedTopic::kConfiguration)}});
+  if (is_cancelled) return EndJob(accepted, JobState::kCancelled);
+  if (!OpenDueOccurrences(accepted)) m_unopened[id] = &accepted;
+  if (is_immediate) CountAcceptedWork(accepted, queue);
 }
 
 AdmissionDecision Scheduler::DecideAdmission(Job& job, const QueueConfig& queue) {
@@ -501,15 +503,25 @@
   return amount;
 }
 
-void Scheduler::Cancel(const JobId& id, const ClientReplyFunction& reply) {
-  Job* job = FindJob(id);
-  if (job == nullptr) {
-    const bool is_confirmed = m_now - m_leadership.confirmed_at <= kMaxUnconfirmed;
-    return reply({is_confirmed ? ClientOutcome::kNoSuchJob : ClientOutcome::kNotLeader});
+void Scheduler::Cancel(Job& job, const ClientReplyFunction& reply) {
+  if (!IsFinal(job.state)) EndJob(job, JobState::kCancelled);
+  if (job.change == job.committed_change) return reply({ClientOutcome::kCancelled});
+  WhenCommitted(job, [reply] { reply({ClientOutcome::kCancelled}); });
+}
+
+void Scheduler::CancelUnknownJob(const ClientCall& call, const QueueConfig& queue, const JobId& id, const TeamId& team,
+                                 const ClientReplyFunction& reply) {
+  if (m_now - m_leadership.confirmed_at > kMaxUnconfirmed) return reply({ClientOutcome::kNotLeader});
+  // The reply would be of no use to a successor that does not know of the cancel.
+  if (m_leadership.is_store_stalled) return ReplyUndecided(call, queue.priority, reply);
+  if (!m_early_cancels.Add(EarlyCancelKey(queue, team, id), m_leadership.max_store_now_ms, m_now)) {
+    m_ports.events.Emit("call.refused", {{"job", id.value()}, {"reason", "too many cancels of unknown jobs"}});
+    const auto wait = std::chrono::ceil<std::chrono::seconds>(m_early_cancels.RoomAt(team) - m_now);
+    return reply({ClientOutcome::kOverloaded, {}, 0, std::max<std::int64_t>(1, wait.count())});
   }
-  if (!IsFinal(job->state)) EndJob(*job, JobState::kCancelled);
-  if (job->change == job->committed_change) return reply({ClientOutcome::kCancelled});
-  WhenCommitted(*job, [reply] { reply({ClientOutcome::kCancelled}); });
+  m_ports.events.Emit("cancel.unknown_job", {{"job", id.value()}, {"queue", queue.id.value()}, {"call", call.call_id}});
+  if (m_early_cancels.has_changes()) m_mark_dirty();
+  m_early_cancels.WhenCommitted([reply] { reply({ClientOutcome::kNoSuchJob}); });
 }
 
 std::int64_t Scheduler::CountWaitingJobs(const QueueId& queue) const {
--- a/src/cell/scheduler_orders.cc
+++ b/src/cell/scheduler_orders.cc
@@ -155,6 +155,13 @@
   batch.writes.push_back({kLeaderTable, kSpeedsKey, EncodeSpeeds(m_speeds.Export())});
 }
 
+std::uint64_t Scheduler::PutEarlyCancels(CommitBatch& batch) {
+  const std::size_t room = kMaxBatchRows - std::min(kMaxBatchRows, batch.writes.size());
+  for (StateWrite& write : m_early_cancels.TakeWrites(room, m_now)) batch.writes.push_back(std::move(write));
+  if (m_early_cancels.has_changes()) m_mark_dirty();
+  return m_early_cancels.written_change();
+}
+
 bool Scheduler::MaySendStarts() const {
   // Another leader may have taken over while this process was paused. An upstream that has restarted since does not
   // know the fencing token of that leader and would accept the start.
--- a/src/instance/cell_instance.cc
+++ b/src/instance/cell_instance.cc
@@ -527,6 +527,7 @@
   gauges["jaymast_postponed_starts"] = static_cast<double>(scheduler.postponed_starts());
   gauges["jaymast_pending_record_bytes"] = static_cast<double>(scheduler.pending_record_bytes());
   gauges["jaymast_active_jobs"] = static_cast<double>(scheduler.active_jobs());
+  gauges["jaymast_early_cancels"] = static_cast<double>(scheduler.early_cancels().size());
   gauges["jaymast_known_jobs"] = static_cast<double>(scheduler.known_jobs());
   gauges["jaymast_uncommitted_jobs"] = static_cast<double>(scheduler.uncommitted_jobs());
   gauges["jaymast_record_rows"] = static_cast<double>(scheduler.record_rows());
--- a/src/instance/cell_term.cc
+++ b/src/instance/cell_term.cc
@@ -44,7 +44,16 @@
       m_feeds(make_feeds(*this)),
       m_record_reader(store, m_events, kRecordTable,
                       {[this](const StateScanReply& page) { OnRecords(page); },
-                       [this](std::int64_t store_now_ms) { FinishJobs(store_now_ms); }, m_request_tick}) {}
+                       [this](std::int64_t store_now_ms) { FinishJobs(store_now_ms); }, m_request_tick}),
+      m_cancel_reader(store, m_events, kEarlyCancelTable,
+                      {[this](const StateScanReply& page) {
+                         m_cancel_rows.insert(m_cancel_rows.end(), page.rows.begin(), page.rows.end());
+                       },
+                       [this](std::int64_t store_now_ms) {
+                         m_cancels_read_at_ms = store_now_ms;
+                         m_request_tick();
+                       },
+                       m_request_tick}) {}
 
 void CellTerm::OnTick(Time now, std::int64_t unix_now_ms) {
   m_now = now;
@@ -52,6 +61,8 @@
   m_committer.OnTick(now);
   const bool is_store_out = m_committer.IsStalled(now, kStoreOutageThreshold);
   m_record_reader.OnTick(now, is_store_out);
+  m_cancel_reader.OnTick(now, is_store_out);
+  if (m_cancel_reader.is_complete() && !m_are_cancels_loaded) LoadEarlyCancels();
   if (m_read_lease_bounds) {
     m_scheduler.LoadLeaseBounds(*std::exchange(m_read_lease_bounds, std::nullopt), m_leases_read_at_ms);
     m_are_leases_loaded = true;
@@ -109,6 +120,13 @@
   for (const StateRow& row : page.rows) OnRow(row);
 }
 
+void CellTerm::LoadEarlyCancels() {
+  for (const StateRow& row : m_cancel_rows) m_scheduler.LoadEarlyCancels(row, m_cancels_read_at_ms);
+  m_cancel_rows.clear();
+  m_are_cancels_loaded = true;
+  CheckLoaded();
+}
+
 void CellTerm::LoadLeaseBounds() {
   m_is_reading_leases = true;
   const std::string key = kLeaseKey;
@@ -218,7 +236,8 @@
 }
 
 void CellTerm::CheckLoaded() {
-  const bool is_all_read = m_record_reader.is_complete() && m_are_leases_loaded && m_has_config && m_has_upstream_list;
+  const bool is_all_read = m_record_reader.is_complete() && m_are_cancels_loaded && m_are_leases_loaded &&
+                           m_has_config && m_has_upstream_list;
   if (m_is_loaded || !is_all_read) return;
   m_is_loaded = true;
   m_committer.SetUnreadyTerms(0);
--- a/src/instance/cell_term.h
+++ b/src/instance/cell_term.h
@@ -68,6 +68,8 @@
   };
 
   void OnRecords(const StateScanReply& page);
+  /// Applies the rows of early cancels once all are read. Their remaining time counts from a tick after the read.
+  void LoadEarlyCancels();
   void LoadLeaseBounds();
   void OnLeaseBounds(const StateScanReply& reply);
   /// Reads the speeds that the earlier leader has learned. Nothing waits for them.
@@ -92,6 +94,10 @@
   ReadinessBound m_readiness_bound;
   std::unique_ptr<CellFeeds> m_feeds;
   TableReader m_record_reader;
+  TableReader m_cancel_reader;
+  std::vector<StateRow> m_cancel_rows;    ///< read and not applied yet
+  std::int64_t m_cancels_read_at_ms = 0;  ///< store clock
+  bool m_are_cancels_loaded = false;
   std::map<JobId, LoadedJob> m_loaded_jobs;
   Time m_next_lease_load_at{};
   bool m_is_reading_leases = false;
