Bound the deadline of a loaded row of early cancels

Cause: a row with a deadline far away, which nothing in the cell writes, would be kept for ever, and one near 2^63 overflowed the conversion to microseconds.

--- a/src/cell/early_cancels.cc
+++ b/src/cell/early_cancels.cc
@@ -15,6 +15,8 @@
 
 constexpr int kKeyDigits = 12;
 constexpr std::size_t kMaxNameBytes = 60'000;
+/// A row with a longer time left was not written by this class.
+constexpr std::int64_t kMaxTimeLeftMs = 2 * ToMillis(EarlyCancels::kRetention + EarlyCancels::kRowSpan);
 
 /// Returns a key of fixed length, so that keys sort in the order of the rows.
 std::string RowKey(std::int64_t number) { return fmt::format("{:0{}}", number, kKeyDigits); }
@@ -62,11 +64,11 @@
   };
   const std::optional<std::string_view> first = take_line();
   const std::optional<std::int64_t> until_ms = first ? ParseNumber(*first) : std::nullopt;
-  if (!until_ms) return false;
+  if (!until_ms || *until_ms < 0) return false;
   Row& loaded = m_rows[*number];
   loaded.is_stored = true;
   loaded.closes_at = now;  // when its deadline passes in the store is known only with a delay
-  loaded.until = now + std::chrono::milliseconds(std::max<std::int64_t>(0, *until_ms - store_now_ms));
+  loaded.until = now + std::chrono::milliseconds(std::clamp<std::int64_t>(*until_ms - store_now_ms, 0, kMaxTimeLeftMs));
   bool is_readable = true;
   while (!text.empty()) {
     const std::optional<std::string_view> line = take_line();
--- a/src/cell/early_cancels_test.cc
+++ b/src/cell/early_cancels_test.cc
@@ -138,11 +138,20 @@
   EXPECT_FALSE(load("row", "600000\n"));
   EXPECT_FALSE(load("1", ""));
   EXPECT_FALSE(load("2", "soon\n"));
+  EXPECT_FALSE(load("2", "-9223372036854775808\n"));
   EXPECT_FALSE(load("3", "600000\njob\n"));
   EXPECT_FALSE(load("4", "600000\njob {}\nother {\"q\":\"q\",\"t\":\"team\"}\ncut {\"q\":\"q\""));
   EXPECT_TRUE(m_cancels.Contains(KeyOf("other"), kStart));
 }
 
+// Guards against a row that is kept for ever because of a deadline that is far away.
+TEST_F(EarlyCancelsTest, DeadlineOfLoadedRowIsBounded) {
+  const StateRow row{kEarlyCancelTable, "1", "9223372036854775807\njob {\"q\":\"q\",\"t\":\"team\"}\n", 1};
+  ASSERT_TRUE(m_cancels.LoadRow(row, kStoreNowMs, kStart));
+  EXPECT_TRUE(m_cancels.Contains(KeyOf("job"), kStart));
+  EXPECT_FALSE(m_cancels.Contains(KeyOf("job"), kStart + seconds(120)));
+}
+
 // Guards against an organisation that takes all room, and against room that is never free again.
 TEST_F(EarlyCancelsTest, RoomOfAnOrganisationIsBounded) {
   const int kept = Fill("scanner", kStart);
