--- a/src/cell/early_cancels.cc
+++ b/src/cell/early_cancels.cc
@@ -67,7 +67,7 @@
   if (!until_ms || *until_ms < 0) return false;
   Row& loaded = m_rows[*number];
   loaded.is_stored = true;
-  loaded.closes_at = now;  // when its deadline passes in the store is known only with a delay
+  loaded.closes_at = now;  // its text is not kept, so nothing can be appended
   loaded.until = now + std::chrono::milliseconds(std::clamp<std::int64_t>(*until_ms - store_now_ms, 0, kMaxTimeLeftMs));
   bool is_readable = true;
   while (!text.empty()) {
