--- /dev/null
+++ b/review/standin-3/json.cc
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
