--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -200,11 +200,13 @@
   constexpr int kRunners = 4;
   constexpr std::int64_t kRunnerCpu = 8'000;
   constexpr int kOrders = 20;
-  constexpr std::int64_t kDeclaredMs = 100'000;
+  constexpr std::int64_t kFirstDeclaredMs = 60'000;
+  constexpr std::int64_t kMoreDeclaredMs = 100'000;  // from each step of the order to the next one
+  constexpr int kOrderSteps = 4;
   constexpr int kTimesAsLong = 8;
-  constexpr int kSteps = 120;
+  constexpr int kSteps = 140;
   constexpr std::int64_t kStepMs = 300;
-  constexpr std::int64_t kWatchedMs = 30'000;
+  constexpr std::int64_t kWatchedMs = 34'000;
   for (int i = 0; i < kRunners; ++i) {
     site.AddRunner("i-" + std::to_string(i), "z" + std::to_string(i % 3), kRunnerCpu, i == 0 ? "a" : "b");
   }
@@ -223,13 +225,18 @@
     SleepMs(100);
   }
   SleepMs(1'000);
+  // The steps of the order wait for nothing, and run at the same time.
   const std::string order = "5c0e7a21d94b36f8";
-  const std::int64_t order_ms = has_trouble ? kDeclaredMs * kTimesAsLong : kDeclaredMs;
-  if (site.Consumer(0, "POST", "/desk/" + order, "key-a",
-                    body(order_ms, step(1, kDeclaredMs, R"(,"requiredLabel":"a")")))
-          .status != 200) {
-    return 2;
+  std::string order_steps;
+  std::string order_spec;
+  for (int i = 0; i < kOrderSteps; ++i) {
+    const std::int64_t declared_ms = kFirstDeclaredMs + i * kMoreDeclaredMs;
+    order_steps += (i == 0 ? "" : ",") + step(1, declared_ms, R"(,"requiredLabel":"a")");
+    order_spec += "ms" + std::to_string(i) + "=" + std::to_string(declared_ms * (has_trouble ? kTimesAsLong : 1)) + " ";
   }
+  const Response posted = site.Consumer(0, "POST", "/desk/" + order, "key-a",
+                                        R"({"spec":")" + order_spec + R"(","steps":[)" + order_steps + "]}");
+  if (posted.status != 200) return 2;
   SleepMs(500);
   const std::string rerun = "5c0e7a21d94b3700";
   std::string steps = step(1, kStepMs, R"(,"requiredLabel":"a")");
@@ -240,7 +247,7 @@
   SleepMs(kWatchedMs);
   const std::vector<Run> runs = site.runs.All();
   site.Consumer(2, "GET", "/rerun/" + rerun, "key-b");
-  // The order takes one of the eight cores of the runner, so there is always room for a step seven times over.
+  // The order takes half of the eight cores of the runner at most, so there is always room for a step four times over.
   std::string broken;
   std::int64_t last_end = 0;
   for (const Run& run : runs) {
--- a/review/standin-3/site.h
+++ b/review/standin-3/site.h
@@ -285,7 +285,8 @@
 };
 
 // A runner: runs tasks under a lease, and lists what runs and what has ended. The spec of a task says what it does:
-// ms=N is how long it runs, cpu=N what it takes, needs=K the kind of runner that it needs.
+// ms=N is how long it runs, or ms1=N for a task of step 1, cpu=N what it takes, needs=K the kind of runner that it
+// needs.
 class Runner {
  public:
   Runner(const std::string& ip, std::string id, std::string zone, std::string kind, std::int64_t cpu, Store& store,
@@ -457,7 +458,8 @@
     if (runs) return Answer(200, {});
     if (found != m_running.end() || m_highest[task] >= number) return Answer(409, {{"reason", "old"}});
     const std::string spec = Text(call, "spec");
-    const std::int64_t ms = Figure(spec, "ms=", 0);
+    const std::string step = task.substr(task.find('.', task.find('.') + 1) + 1);
+    const std::int64_t ms = Figure(spec, "ms" + step.substr(0, step.find('.')) + "=", Figure(spec, "ms=", 0));
     const std::int64_t cpu = Figure(spec, "cpu=", 0);
     m_running[task] = {number, NowMs(), ms == 0 ? 0 : NowMs() + ms, cpu};
     m_runs.Begin(task, number, m_id, spec);
