--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -268,10 +268,9 @@
   constexpr std::int64_t kLossMs = 4'500;
   constexpr int kLostPercent = 35;
   constexpr std::int64_t kDownMs = 300;
-  constexpr std::int64_t kLargeCpu = 32'000;
-  constexpr std::int64_t kSmallCpu = 2'000;
-  for (int i = 0; i < 8; ++i) site.AddRunner("i-" + std::to_string(i), "z" + std::to_string(i % 3), kSmallCpu, "b");
-  site.runners[0]->Restart(0, "a", kLargeCpu);
+  constexpr std::int64_t kRunnerCpu = 32'000;
+  for (int i = 0; i < 8; ++i) site.AddRunner("i-" + std::to_string(i), "z" + std::to_string(i % 3), kRunnerCpu, "b");
+  site.runners[0]->Restart(0, "a", kRunnerCpu);
   PutConfig(site, {Route("r-desk", "/desk/", 1)});
   site.Start();
   std::atomic<bool> is_over = false;
@@ -301,12 +300,12 @@
       for (const int lost = site.store.lost_answers(); site.store.lost_answers() == lost && NowMs() < end_of_loss;) {
         SleepMs(10);
       }
-      site.runners[0]->Restart(kDownMs, "b", kSmallCpu);
+      site.runners[0]->Restart(kDownMs, "b", kRunnerCpu);
       SleepMs(std::max<std::int64_t>(0, end_of_loss - NowMs()));
       site.store.LoseAnswers(0);
       site.record.Line("answers of the store arrive again");
       SleepMs(2'000);
-      site.runners[0]->Restart(kDownMs, "a", kLargeCpu);
+      site.runners[0]->Restart(kDownMs, "a", kRunnerCpu);
     }
     SleepMs(until - NowMs());
   }
