Event that tells what is reserved for a waiting gang, and until when

step.waiting with the reason "reserved" did not tell whether whole upstreams, a start far away or an estimate that has run out holds the capacity. gang.reserving names the step, the idle capacity on its upstreams, what of it the members don't need, and the expected start, by the progress that the upstreams report or else by the declared run time.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -355,8 +355,6 @@
   std::vector<UpstreamState*> FindCandidates(const StepRef& ref);
   bool CanRunOn(const StepSpec& spec, const QueueConfig& queue, const UpstreamState& upstream) const;
   std::int64_t CountSlots(const StepRef& ref, const UpstreamState& upstream, const Resources& free_capacity) const;
-  bool MayReserveUpstreams(const StepRef& ref) const;
-  void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
   /// Updates `can_fit_later` of a waiting step, unless it was checked a short time ago.
   void CheckFit(const StepRef& ref);
   /// Whether the gang, or one task of another step, will fit on the usable upstreams once their other work has ended,
@@ -365,6 +363,24 @@
   /// Capacity that the limit of the organisation still allows it to allocate.
   Resources TeamFreeCapacity(const TeamId& team) const;
 
+  // scheduler_reservations.cc
+  /// Members of a waiting gang that are to run on one upstream.
+  struct ReservedPlaces {
+    UpstreamState* upstream = nullptr;
+    std::int64_t members = 0;
+  };
+
+  bool MayReserveUpstreams(const StepRef& ref) const;
+  void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
+  Duration ExpectedRunOn(const Job& job, std::size_t step, const UpstreamState& upstream) const;
+  /// Expected ends of the tasks on the upstream with the capacity that they release, in ascending order. Time::max() if
+  /// nothing is known about an end.
+  std::vector<std::pair<Time, Resources>> ListExpectedEnds(const UpstreamState& upstream) const;
+  /// When the demand is expected to fit on the upstream if nothing else starts there, Time::max() if unknown.
+  Time ExpectedFit(const UpstreamState& upstream, const Resources& demand) const;
+  /// Emits an event about the reservation, at most once in an interval for each gang.
+  void ReportReservation(const StepRef& ref, const std::vector<ReservedPlaces>& places);
+
   // scheduler_policy.cc
   /// Requests tickets for waiting steps: first for those whose tasks could start at once, in the order of the placement
   /// pass; one in some calls goes to the one that has waited longest.
--- a/src/cell/scheduler_placement.cc
+++ b/src/cell/scheduler_placement.cc
@@ -22,10 +22,6 @@
 constexpr Duration kTicketMargin{150'000};
 /// Gangs for which capacity is reserved in one pass.
 constexpr int kMaxReservingGangs = 2;
-/// Upstreams that each of them may reserve beyond its candidates.
-constexpr std::size_t kReservedUpstreamsPerGang = 8;
-/// Capacity is reserved for a gang after it has waited this long.
-constexpr Duration kReservationDelay{1'500'000};
 
 /// A step of which nothing has run for this time is reported, and again after the interval.
 constexpr Duration kReportedWait{1'500'000};
@@ -439,31 +435,6 @@
   return m_now < deadline ? std::numeric_limits<double>::max() : 0;
 }
 
-bool Scheduler::MayReserveUpstreams(const StepRef& ref) const {
-  if (ref.urgency > Urgency::kTimely || m_now - ref.job->accepted < kReservationDelay) return false;
-  return ref.job->spec.steps[ref.step].total_demand().FitsIn(TeamFreeCapacity(ref.job->team));
-}
-
-void Scheduler::ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates) {
-  if (m_reserved_upstreams.size() >= candidates.size() + kMaxReservingGangs * kReservedUpstreamsPerGang) return;
-  const StepSpec& spec = ref.job->spec.steps[ref.step];
-  std::vector<UpstreamState*> ordered = candidates;
-  const UpstreamSelector selector(RequiredSpeed(ref));
-  std::stable_sort(ordered.begin(), ordered.end(), [&selector](const UpstreamState* a, const UpstreamState* b) {
-    const bool is_sufficient = selector.IsSufficient(a->low_speed);
-    if (is_sufficient != selector.IsSufficient(b->low_speed)) return is_sufficient;
-    return a->FreeCapacity().cpu_millis > b->FreeCapacity().cpu_millis;
-  });
-  std::int64_t reserved_slots = 0;
-  for (const UpstreamState* upstream : ordered) {
-    if (reserved_slots >= spec.task_count) return;
-    const std::int64_t slots = CountSlots(ref, *upstream, upstream->AttainableCapacity());
-    if (slots == 0) continue;
-    reserved_slots += slots;
-    m_reserved_upstreams.insert(upstream->listing.id);
-  }
-}
-
 void Scheduler::CheckFit(const StepRef& ref) {
   StepState& step = ref.job->occurrences.at(ref.occurrence).steps[ref.step];
   if (m_now < step.next_fit_check_at) return;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -102,10 +102,11 @@
   Time next_fit_check_at{};
   Time idle_since{};           ///< since when its turn has come and nothing of it has run, zero if something runs
   Time next_wait_report_at{};  ///< earliest next event about the wait
-  std::int64_t waiting = 0;    ///< tasks without an upstream
-  std::int64_t not_done = 0;   ///< tasks that are not done
-  bool is_gang_done = false;   ///< one member has completed, which completes all
-  StepRunTime run_time;        ///< learned from its runs in this term
+  Time next_reservation_report_at{};      ///< earliest next event about the capacity that is reserved for it
+  std::int64_t waiting = 0;               ///< tasks without an upstream
+  std::int64_t not_done = 0;              ///< tasks that are not done
+  bool is_gang_done = false;              ///< one member has completed, which completes all
+  StepRunTime run_time;                   ///< learned from its runs in this term
   std::int32_t last_failed_gang_run = 0;  ///< highest run of the gang that was counted as failed
 };
 
