--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -378,7 +378,7 @@
 
   bool MayReserveUpstreams(const StepRef& ref) const;
   void ReserveUpstreams(const StepRef& ref, const std::vector<UpstreamState*>& candidates);
-  /// Chooses where the members of a gang are to run, as far as there are upstreams without a reservation.
+  /// Chooses where the members of a gang are to run. Some of the places may be reserved for a gang before it.
   std::vector<ReservedPlaces> ChooseReservedPlaces(const StepRef& ref,
                                                    const std::vector<UpstreamState*>& candidates) const;
   /// Stops the backfilled tasks that keep a gang from starting, unless this was tried a short time ago.
